--- /dev/null
+++ b/crates/qhd/src/chainc.rs
@@ -0,0 +1,116 @@
+//! Writes to the chain's head, sent again under the same key until they are answered (§5.2).
+use qh_core::wire::Caller;
+use qh_core::{Breakdown, Code, Name, now};
+use qh_state::{Answer, Ask, Cmd, KeeperStatus, Knock, Knocked, Rep, View};
+use std::sync::Mutex;
+use std::time::Duration;
+
+pub struct Chain {
+    keepers: Vec<String>,
+    view: Mutex<View>,
+    at: Mutex<usize>,
+    caller: Caller,
+}
+
+impl Chain {
+    pub fn new(keepers: &[String]) -> Self {
+        Self {
+            keepers: keepers.to_vec(),
+            view: Mutex::default(),
+            at: Mutex::new(0),
+            caller: Caller::default(),
+        }
+    }
+    pub async fn ask(&self, addr: &str, ask: Ask, within: Duration) -> Result<Rep, Breakdown> {
+        match self.caller.call::<_, Knocked>(addr, &Knock::Node { ask }, within).await? {
+            Knocked::Rep { rep } => Ok(rep),
+            Knocked::Taken => Err(Code::ChainDown.because("an answer that is none")),
+        }
+    }
+    pub fn view(&self) -> View {
+        self.view.lock().unwrap().clone()
+    }
+    pub fn learn(&self, v: View) {
+        let mut cur = self.view.lock().unwrap();
+        if v.edition > cur.edition {
+            *cur = v;
+        }
+    }
+    /// Some keeper, another at each call.
+    pub fn any(&self) -> String {
+        let mut at = self.at.lock().unwrap();
+        *at += 1;
+        let v = self.view();
+        let n = v.machines.len().max(1);
+        let known = v.machines.get(*at % n).map(|m| m.addr.to_string());
+        // The settings' keepers and those of the view take turns: either list may be out of date.
+        known
+            .filter(|_| at.is_multiple_of(2))
+            .unwrap_or_else(|| self.keepers[*at % self.keepers.len()].clone())
+    }
+    pub fn head(&self) -> String {
+        let v = self.view();
+        v.head().and_then(|h| v.addr(h)).map_or_else(|| self.any(), |a| a.to_string())
+    }
+    pub fn tail(&self) -> String {
+        let v = self.view();
+        v.tail().and_then(|t| v.addr(t)).map_or_else(|| self.any(), |a| a.to_string())
+    }
+
+    /// Writes, wherever the head is by then.
+    pub async fn write(&self, key: &str, cmd: Cmd, within: Duration) -> Result<Answer, Breakdown> {
+        let until = now() + within.as_millis() as u64;
+        let mut to = self.head();
+        loop {
+            let ask = Ask::Write { key: Name::from(key), cmd: cmd.clone() };
+            let left = Duration::from_millis(until.saturating_sub(now()).clamp(1, 9_000));
+            let why = match self.ask(&to, ask, left).await {
+                Ok(Rep::Answer { answer: Answer::Declined(b), .. }) => return Err(b),
+                Ok(Rep::Answer { answer, .. }) => return Ok(answer),
+                Ok(Rep::Elsewhere { view }) => {
+                    self.learn(view);
+                    Code::ChainDown.because("the chain is being mended")
+                }
+                Ok(Rep::Declined { why }) if why.is(Code::BlueprintInvalid) => return Err(why),
+                Ok(Rep::Declined { why }) => why,
+                Ok(_) => Code::ChainDown.because("an answer that is none"),
+                Err(b) => {
+                    self.learn_from(&self.any()).await;
+                    b
+                }
+            };
+            if now() + 50 >= until {
+                return Err(why.unknown().retry(500));
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            to = self.head();
+        }
+    }
+    pub async fn learn_from(&self, addr: &str) {
+        if let Ok(Rep::Status { status }) = self.ask(addr, Ask::Status, Duration::from_millis(400)).await {
+            self.learn(status.view);
+        }
+    }
+
+    /// Every keeper's own account, asked side by side.
+    pub async fn all(&self) -> Vec<(Name, Name, Option<KeeperStatus>)> {
+        if self.view().machines.is_empty() {
+            for k in &self.keepers {
+                self.learn_from(k).await;
+            }
+        }
+        let asks = self.view().machines.into_iter().map(|m| async move {
+            let r = self.ask(&m.addr, Ask::Status, Duration::from_millis(700)).await;
+            let st = r.ok().and_then(|r| match r {
+                Rep::Status { status } => Some(status),
+                _ => None,
+            });
+            (m.name, m.addr, st)
+        });
+        let mut out = Vec::new();
+        for a in asks {
+            out.push(a.await);
+        }
+        out
+    }
+}
--- /dev/null
+++ b/crates/qhd/src/copies.rs
@@ -0,0 +1,105 @@
+//! Sessions' copies over the mesh: placed before they are promised, mended by digests (§6.4).
+use crate::Fleet;
+use crate::meshd::Net;
+use qh_core::{Breakdown, Code, Edition, Name, now};
+use qh_data::node::{Copies, Fut};
+use qh_data::session::Context;
+use qh_mesh::duty::owners;
+use qh_mesh::{NodeAsk, NodeRep};
+use std::sync::Arc;
+
+/// Copies are compared with one other owner by digests over ranges and mended from the newer; copies whose
+/// owners changed are handed on (§6.4).
+pub async fn mend(f: Arc<Fleet>) {
+    let live = f.mesh.live();
+    let me = f.mesh.me.clone();
+    f.mesh.table.lock().unwrap().forget_closed(now());
+    let others: Vec<Name> = live.iter().map(|(n, _)| n.clone()).filter(|n| *n != me).collect();
+    let Some(peer) = others.get(fastrand::usize(..others.len().max(1))).cloned() else { return };
+    let sums = f.mesh.table.lock().unwrap().sums(&me, &peer, &live);
+    let ask = NodeAsk::Digests { from: me.clone(), sums };
+    let Ok(NodeRep::Differ { ranges }) = f.mesh.ask(&peer, ask).await else { return };
+    for range in ranges.into_iter().take(4) {
+        let have = f.mesh.table.lock().unwrap().in_range(&me, &peer, &live, range);
+        let ask = NodeAsk::Range { from: me.clone(), range, have };
+        let Ok(NodeRep::Mend { newer, want }) = f.mesh.ask(&peer, ask).await else { return };
+        for c in newer {
+            f.mesh.table.lock().unwrap().put(now(), c);
+        }
+        for id in want.into_iter().take(256) {
+            let ctx = f.mesh.table.lock().unwrap().get(&id);
+            if let Some(ctx) = ctx {
+                let _ = f.mesh.ask(&peer, NodeAsk::Store { ctx }).await;
+            }
+        }
+    }
+    // Held here but owned by others now: hand each on to all its owners, then let it go.
+    let strays: Vec<Context> = {
+        let t = f.mesh.table.lock().unwrap();
+        t.all().into_iter().filter(|c| !owners(&c.id, &live).contains(&me)).take(64).collect()
+    };
+    for c in strays {
+        let to = owners(&c.id, &live);
+        let n = to.len();
+        let got = f.mesh.ask_all(to, NodeAsk::Store { ctx: c.clone() }).await;
+        if n == 3 && got.iter().all(|(_, r)| matches!(r, Some(NodeRep::Done))) {
+            let mut t = f.mesh.table.lock().unwrap();
+            if t.get(&c.id).is_some_and(|h| h.edition == c.edition) {
+                t.drop_one(&c.id);
+            }
+        }
+    }
+}
+
+pub struct MeshCopies(pub Arc<Net>);
+
+impl Copies for MeshCopies {
+    fn store(&self, c: Context) -> Fut<'_, Result<(), Breakdown>> {
+        Box::pin(async move {
+            let to = owners(&c.id, &self.0.live());
+            let n = to.len();
+            let got = self.0.ask_all(to, NodeAsk::Store { ctx: c }).await;
+            let done = got.iter().filter(|(_, r)| matches!(r, Some(NodeRep::Done))).count();
+            // A fleet of fewer than three nodes has fewer owners; a majority of those there are.
+            if done * 2 > n {
+                Ok(())
+            } else {
+                Err(Code::NoMajority.because("the session's copies could not be placed").unknown().retry(500))
+            }
+        })
+    }
+    fn find<'a>(&'a self, id: &'a str, at_least: Edition) -> Fut<'a, Result<Option<Context>, Breakdown>> {
+        Box::pin(async move {
+            let live = self.0.live();
+            let to = owners(id, &live);
+            let ask = NodeAsk::Find { id: id.into() };
+            let newest = |got: Vec<(Name, Option<NodeRep>)>| {
+                let answered = got.iter().filter(|(_, r)| r.is_some()).count();
+                let best = got
+                    .into_iter()
+                    .filter_map(|(_, r)| match r {
+                        Some(NodeRep::Found { ctx }) => ctx,
+                        _ => None,
+                    })
+                    .max_by_key(|c| c.edition);
+                (answered, best)
+            };
+            let n = to.len();
+            let (answered, best) = newest(self.0.ask_all(to, ask.clone()).await);
+            if answered * 2 > n && best.as_ref().is_some_and(|c| c.edition >= at_least) {
+                return Ok(best);
+            }
+            // The owners changed or some are gone: anyone may hold what the origin knows to exist.
+            let all: Vec<Name> = live.iter().map(|(n, _)| n.clone()).collect();
+            let n = all.len();
+            let (answered, best) = newest(self.0.ask_all(all, ask).await);
+            match best {
+                Some(c) if c.edition >= at_least => Ok(Some(c)),
+                Some(_) => Err(Code::SessionLost.bare()),
+                None if answered == n && at_least == 0 => Ok(None),
+                None if answered * 2 > n => Err(Code::SessionLost.because("no copy of it is left")),
+                None => Err(Code::NoMajority.because("the session's owners do not answer").retry(500)),
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/qhd/src/desk.rs
@@ -0,0 +1,59 @@
+//! What comes to the doors: origins' visits, the platform's question, beats, operators (§4.1, §8).
+use crate::{Fleet, meshd, ops};
+use qh_core::{Beat, Breakdown, Code};
+use qh_data::Node;
+use qh_data::door::Knock;
+use qh_data::visit::breakdown_json;
+use serde_json::{Value, json};
+use std::sync::Arc;
+
+fn said(r: Result<Value, Breakdown>) -> (u16, Value) {
+    r.map_or_else(|b| (b.http(), breakdown_json(&b)), |v| (200, v))
+}
+
+/// The door of origins and the platform.
+pub async fn origin(n: &Arc<Node>, k: Knock) -> (u16, Value) {
+    match (k.method.as_str(), k.path.as_str()) {
+        ("GET", "/ready") => {
+            let r = n.ready();
+            let st = if r.is_ok() { 200 } else { 503 };
+            (st, r.unwrap_or_else(|b| json!({"ready": false, "error": {"code": b.code, "text": b.text}})))
+        }
+        ("POST", p) => n.visit(p, &k.body).await,
+        _ => said(Err(Code::NoSuchCall.bare())),
+    }
+}
+
+/// The desk of servers and operators.
+pub async fn answer(f: &Arc<Fleet>, k: Knock) -> (u16, Value) {
+    if k.path == "/beat" {
+        let beat = serde_json::from_slice::<Beat>(&k.body).map_err(|e| Code::Malformed.because(e));
+        return said(beat.and_then(|b| check_beat(&b).map(|()| b)).map(|b| {
+            let news = meshd::heard_beat(f, b);
+            json!({"news": news})
+        }));
+    }
+    let Some(what) = k.path.strip_prefix("/op/") else { return said(Err(Code::NoSuchCall.bare())) };
+    if k.token.as_deref() != Some(f.node.set.token.as_str()) {
+        return said(Err(Code::Unauthorized.bare()));
+    }
+    let body: Result<Value, Breakdown> = if k.body.is_empty() {
+        Ok(json!({}))
+    } else {
+        serde_json::from_slice(&k.body).map_err(|e| Code::Malformed.because(e))
+    };
+    match body {
+        Ok(b) => said(ops::answer(f, what, &b).await),
+        Err(b) => said(Err(b)),
+    }
+}
+
+fn check_beat(b: &Beat) -> Result<(), Breakdown> {
+    let named = !b.server.is_empty() && b.server.len() <= 64 && b.labels.len() <= 32;
+    let placed = b.addr.parse::<std::net::SocketAddr>().is_ok();
+    if named && placed {
+        Ok(())
+    } else {
+        Err(Code::Malformed.because("a beat needs a server's name and ip:port"))
+    }
+}
--- /dev/null
+++ b/crates/qhd/src/dutyd.rs
@@ -0,0 +1,181 @@
+//! Duties of this node (§6.3): looks after the leads of the groups that fall to it.
+use crate::{Fleet, groupd};
+use qh_control::watch::{Need, Sight, confirmed, need};
+use qh_core::{Lead, Ms, Name, State, now};
+use qh_mesh::{NodeAsk, NodeRep};
+use qh_state::store::duty_of;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// What an operator asked for and how it went: group to the wanted server.
+#[derive(Default)]
+pub struct Asked {
+    pub wants: Mutex<BTreeMap<Name, Option<Name>>>,
+    /// The last promotions, newest last, for `qh explain`.
+    pub told: Mutex<Vec<String>>,
+}
+
+impl Asked {
+    pub fn tell(&self, s: String) {
+        log::info!(target: "promote", "{s}");
+        let mut t = self.told.lock().unwrap();
+        t.push(s);
+        if t.len() > 256 {
+            t.remove(0);
+        }
+    }
+}
+
+/// A promotion is not begun again sooner.
+const REST: Ms = 3_000;
+
+#[derive(Default)]
+struct Group {
+    lead: Option<Lead>,
+    since: Ms,
+    wrong: Option<Ms>,
+    rest_until: Ms,
+    task: Option<tokio::task::JoinHandle<()>>,
+    fenced_at: Ms,
+}
+
+pub async fn run(f: Arc<Fleet>) {
+    let mut groups: BTreeMap<Name, Group> = BTreeMap::new();
+    loop {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        if !f.node.board.has_lease() || f.node.board.is_stopping() {
+            continue;
+        }
+        let live: Vec<Name> = f.mesh.live().into_iter().map(|(n, _)| n).collect();
+        let names: std::collections::BTreeSet<Name> =
+            f.node.board.rows().iter().map(|r| r.group()).filter(|g| !g.is_empty()).collect();
+        for g in names {
+            let st = groups.entry(g.clone()).or_default();
+            let lead = f.node.board.lead(&g);
+            if st.lead != lead || st.since == 0 {
+                (st.lead, st.since) = (lead, now());
+            }
+            if qh_mesh::duty::owner(&duty_of(&g), &live) != Some(&f.mesh.me) {
+                continue;
+            }
+            if st.task.as_ref().is_some_and(|t| !t.is_finished()) {
+                continue;
+            }
+            if st.task.take().is_some() {
+                st.rest_until = now() + REST;
+            }
+            look(&f, &g, st).await;
+        }
+    }
+}
+
+fn sight(f: &Fleet, g: &Name, st: &mut Group) -> Sight {
+    let rows: Vec<_> = f.node.board.rows().into_iter().filter(|r| r.group() == *g).collect();
+    let copies = rows
+        .iter()
+        .filter_map(|r| r.beat.read().unwrap().labels.get("copies").and_then(|c| c.parse().ok()))
+        .max()
+        .unwrap_or(3);
+    let mut s = Sight {
+        lead: st.lead.clone(),
+        lead_for: now().saturating_sub(st.since),
+        servers: rows.iter().map(|r| r.name.clone()).collect(),
+        copies,
+        asked: f.duty.wants.lock().unwrap().get(g).cloned(),
+        ..Default::default()
+    };
+    let named = st.lead.as_ref().and_then(|l| l.server.clone().map(|s| (s, l.fence)));
+    let Some((row, fence)) = named.and_then(|(n, fe)| rows.iter().find(|r| r.name == n).map(|r| (r, fe)))
+    else {
+        return s;
+    };
+    let status = row.status.lock().unwrap().clone();
+    s.failing = status.failing.map(|at| now().saturating_sub(at));
+    s.declined = status.declined;
+    s.leaving = row.leaving();
+    s.aside = !row.health.lock().unwrap().may_serve() && stalled(row);
+    let b = row.beat.read().unwrap().clone();
+    let leads = b.role == qh_core::Role::Primary && b.fence == fence && b.state != State::Starting;
+    let wrong_now = !leads && status.failing.is_none() && status.answered > 0;
+    st.wrong = if wrong_now { st.wrong.or(Some(now())) } else { None };
+    s.wrong = st.wrong.map(|at| now().saturating_sub(at));
+    s
+}
+
+/// Was it set aside because replies are owed and overdue?
+fn stalled(row: &qh_data::board::ServerRow) -> bool {
+    use qh_data::judge::Sign;
+    let h = row.health.lock().unwrap();
+    h.turns.back().is_some_and(|t| t.evidence.iter().any(|e| matches!(e.sign, Sign::Stall | Sign::Overdue)))
+}
+
+async fn look(f: &Arc<Fleet>, g: &Name, st: &mut Group) {
+    let s = sight(f, g, st);
+    fence_stragglers(f, g, st).await;
+    if now() < st.rest_until {
+        return;
+    }
+    let planned = match need(&s) {
+        Need::Nothing => return,
+        Need::Now { planned } => planned,
+        Need::Confirm => {
+            if !others_agree(f, &s).await {
+                return;
+            }
+            false
+        }
+    };
+    let want = f.duty.wants.lock().unwrap().remove(g).flatten();
+    let old = s.lead.as_ref().and_then(|l| l.server.clone().or_else(|| l.closed.clone()));
+    let plan = qh_control::promotion::Plan {
+        group: g.clone(),
+        by: f.mesh.me.clone(),
+        attempt: format!("{}/{}/{:x}", duty_of(g), f.mesh.me, fastrand::u64(..)).into(),
+        old,
+        servers: s.servers.clone(),
+        copies: s.copies,
+        planned,
+        want,
+    };
+    st.task = Some(tokio::spawn(groupd::promote(f.clone(), plan)));
+}
+
+/// Asks the other nodes what they see of the lead's server: one node that is cut off deposes nobody.
+async fn others_agree(f: &Arc<Fleet>, s: &Sight) -> bool {
+    let Some(server) = s.lead.as_ref().and_then(|l| l.server.clone()) else { return false };
+    let others: Vec<Name> = f.mesh.live().into_iter().map(|(n, _)| n).filter(|n| *n != f.mesh.me).collect();
+    let n = others.len();
+    let got = f.mesh.ask_all(others, NodeAsk::Sees { server }).await;
+    let (mut agree, mut disagree) = (0, 0);
+    for (_, r) in got {
+        match r {
+            Some(NodeRep::Sees { heard: true, failing_ms, aside })
+                if failing_ms.is_some() || (s.aside && aside) =>
+            {
+                agree += 1;
+            }
+            Some(NodeRep::Sees { heard: true, .. }) => disagree += 1,
+            _ => {}
+        }
+    }
+    confirmed(agree, disagree, n)
+}
+
+/// Servers that have not heard of the fence in force are told: an old primary that returns leads no more.
+async fn fence_stragglers(f: &Fleet, g: &Name, st: &mut Group) {
+    let Some(lead) = st.lead.clone().filter(|l| l.server.is_some()) else { return };
+    if now() < st.fenced_at + 1_000 {
+        return;
+    }
+    st.fenced_at = now();
+    for r in
+        f.node.board.rows().into_iter().filter(|r| r.group() == *g && Some(&r.name) != lead.server.as_ref())
+    {
+        let low = r.beat.read().unwrap().fence < lead.fence;
+        if low && r.status.lock().unwrap().failing.is_none() {
+            let (path, body) = qh_data::server::call::fence(lead.fence);
+            let _ = f.node.once(&r.addr(), path, body, Duration::from_millis(500)).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/qhd/src/feed.rs
@@ -0,0 +1,89 @@
+//! Follows the numbered feed from the tail and holds the node's lease along it (§5.2, §5.6).
+use crate::Fleet;
+use qh_core::blueprint::Blueprint;
+use qh_core::now;
+use qh_data::board::Plan;
+use qh_state::terms::{FEED, safe};
+use qh_state::{Ask, Rep, Store};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A poll not answered in this time is asked elsewhere.
+const WITHIN: Duration = Duration::from_millis(600);
+
+pub async fn run(f: Arc<Fleet>) {
+    let (name, addr) = (f.node.set.name.as_str(), f.node.set.mesh.as_str());
+    let mut to = f.chain.tail();
+    let mut had = false;
+    loop {
+        let (have, applied) = {
+            let s = f.store.lock().unwrap();
+            (s.n, s.edition())
+        };
+        // The lease is counted from before the question left.
+        let asked = now();
+        let ask = Ask::Feed { node: name.into(), addr: addr.into(), have, applied };
+        let news = match f.chain.ask(&to, ask, WITHIN).await {
+            Ok(Rep::Changes { entries, lease_ms }) => {
+                let mut s = f.store.lock().unwrap();
+                let moved = !entries.is_empty();
+                let whole = entries.iter().all(|e| s.apply(e).is_some());
+                // A gap is no ground to act on; the next poll starts from what was applied.
+                whole.then_some((lease_ms, moved))
+            }
+            Ok(Rep::Whole { store, lease_ms }) => {
+                let mut s = f.store.lock().unwrap();
+                // Never back: a snapshot older than what was applied is not taken (§1 N10).
+                let newer = store.n >= s.n;
+                if newer {
+                    *s = *store;
+                }
+                newer.then_some((lease_ms, true))
+            }
+            Ok(Rep::Elsewhere { view }) => {
+                f.chain.learn(view);
+                to = f.chain.tail();
+                None
+            }
+            Ok(_) => None,
+            Err(_) => {
+                let any = f.chain.any();
+                f.chain.learn_from(&any).await;
+                to = f.chain.tail();
+                None
+            }
+        };
+        if let Some((lease_ms, moved)) = news {
+            if moved {
+                publish(&f);
+            }
+            f.node.board.renew_lease(asked + safe(lease_ms));
+        }
+        let has = f.node.board.has_lease();
+        if has != had {
+            let w = if has { "holds its lease" } else { "has lost its lease and takes no visits" };
+            log::info!(target: "lease", "node {name} {w}");
+            had = has;
+        }
+        let gap = if news.is_some() { FEED } else { 60 };
+        tokio::time::sleep(Duration::from_millis((asked + gap).saturating_sub(now()).max(20))).await;
+    }
+}
+
+/// Puts what was applied on the blackboard.
+fn publish(f: &Fleet) {
+    let p = plan_of(&f.store.lock().unwrap());
+    let (n, edition) = (p.n, p.edition);
+    if f.node.board.set_plan(p) {
+        log::info!(target: "feed", "change {n} is applied, edition {edition} is in force");
+    }
+}
+
+pub fn plan_of(s: &Store) -> Plan {
+    let blueprint = s.blueprint().and_then(|k| {
+        Blueprint::read(&k.text)
+            .map_err(|b| log::error!(target: "feed", "edition {} cannot be read: {b}", k.edition))
+            .ok()
+    });
+    Plan { n: s.n, edition: s.edition(), blueprint: blueprint.map(Arc::new), leads: s.leads.clone() }
+}
--- /dev/null
+++ b/crates/qhd/src/groupd.rs
@@ -0,0 +1,110 @@
+//! Drives one promotion's steps against chain, servers and platform (§5.5).
+use crate::Fleet;
+use qh_control::promotion::{In, Out, Plan, Promotion};
+use qh_core::http::post;
+use qh_core::{Code, Fence, Name, now};
+use qh_state::store::duty_of;
+use qh_state::{Answer, Cmd};
+use serde_json::json;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+const WRITE: Duration = Duration::from_secs(8);
+const CALL: Duration = Duration::from_millis(900);
+
+type Back = mpsc::UnboundedSender<(String, In)>;
+
+pub async fn promote(f: Arc<Fleet>, plan: Plan) {
+    let (tx, mut rx) = mpsc::unbounded_channel();
+    let began = now();
+    let (mut p, outs) = Promotion::new(began, plan.clone());
+    // What is on its way is not asked again; the step asks as often as it likes.
+    let mut going: BTreeSet<String> = BTreeSet::new();
+    act(&f, &plan, outs, &tx, &mut going);
+    while !p.over() {
+        let i = tokio::time::timeout(Duration::from_millis(50), rx.recv()).await;
+        let i = match i {
+            Ok(Some((what, i))) => {
+                going.remove(&what);
+                i
+            }
+            _ => In::Tick,
+        };
+        let outs = p.step(now(), i);
+        act(&f, &plan, outs, &tx, &mut going);
+    }
+    f.duty.tell(format!("promotion in {} ended {:?} after {} ms", plan.group, p.phase, now() - began));
+}
+
+fn act(f: &Arc<Fleet>, plan: &Plan, outs: Vec<Out>, tx: &Back, going: &mut BTreeSet<String>) {
+    for o in outs {
+        let what = match &o {
+            Out::Say(s) => {
+                f.duty.tell(s.clone());
+                continue;
+            }
+            Out::TakeFence { .. } => "fence".to_owned(),
+            Out::SetLead { key, .. } => key.to_string(),
+            Out::FenceServer { server, .. } => format!("fence {server}"),
+            Out::Promote { server, .. } => format!("promote {server}"),
+        };
+        if going.insert(what.clone()) {
+            let (f, plan, tx) = (f.clone(), plan.clone(), tx.clone());
+            tokio::spawn(async move {
+                let i = one(&f, &plan, o).await;
+                let _ = tx.send((what, i));
+            });
+        }
+    }
+}
+
+async fn one(f: &Fleet, plan: &Plan, o: Out) -> In {
+    match o {
+        Out::TakeFence { key } => {
+            let cmd = Cmd::TakeFence { duty: duty_of(&plan.group), by: plan.by.clone() };
+            match f.chain.write(&key, cmd, WRITE).await {
+                Ok(Answer::Fence(x)) => In::Fence(x),
+                _ => In::Tick,
+            }
+        }
+        Out::SetLead { key, lead } => {
+            let named = lead.server.is_some();
+            let cmd = Cmd::SetLead { group: plan.group.clone(), lead };
+            match f.chain.write(&key, cmd, WRITE).await {
+                Ok(_) if named => In::Named,
+                Ok(_) => In::Closed,
+                Err(b) if b.is(Code::FenceLow) => In::Overtaken,
+                Err(_) => In::Tick,
+            }
+        }
+        Out::FenceServer { server, fence } => fence_one(f, server, fence).await,
+        Out::Promote { server, fence } => promote_one(f, plan, server, fence).await,
+        Out::Say(_) => In::Tick,
+    }
+}
+
+async fn fence_one(f: &Fleet, server: Name, fence: Fence) -> In {
+    let Some(row) = f.node.board.row(&server) else { return In::Tick };
+    let (path, body) = qh_data::server::call::fence(fence);
+    let Some(r) = f.node.once(&row.addr(), path, body, CALL).await else { return In::Tick };
+    if r.is(qh_data::server::FENCE_LOW) {
+        return In::Overtaken;
+    }
+    match r.status().filter(|s| s.stamp.server == server && s.stamp.fence == fence) {
+        Some(s) => In::Fenced(server, s.log_end()),
+        None => In::Tick,
+    }
+}
+
+async fn promote_one(f: &Fleet, plan: &Plan, server: Name, fence: Fence) -> In {
+    let Some(row) = f.node.board.row(&server) else { return In::NotPromoted(server) };
+    let body =
+        json!({"group": plan.group, "server": server, "addr": row.addr(), "fence": fence, "node": plan.by});
+    match post(&f.node.set.platform, "/v1/promote", &body, CALL).await {
+        Ok((200, _)) => In::Promoted(server),
+        Ok((409, _)) => In::Overtaken,
+        _ => In::NotPromoted(server),
+    }
+}
--- /dev/null
+++ b/crates/qhd/src/meshd.rs
@@ -0,0 +1,173 @@
+//! Runs the mesh under tokio, and keeps sessions' copies over it (§6).
+use crate::{Fleet, report};
+use qh_core::settings::NodeSettings;
+use qh_core::wire::{Caller, answer};
+use qh_core::{Breakdown, Code, Name, now};
+use qh_mesh::copies::Table;
+use qh_mesh::member::Out;
+use qh_mesh::{Letter, Life, Mesh, NodeAsk, NodeKnock, NodeKnocked, NodeRep, Rumor};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+
+const ASK: Duration = Duration::from_millis(700);
+const LINKS: usize = 512;
+
+pub struct Net {
+    pub me: Name,
+    pub mesh: Mutex<Mesh>,
+    pub table: Mutex<Table>,
+    lst: Mutex<Option<TcpListener>>,
+    caller: Caller,
+}
+
+impl Net {
+    pub async fn open(s: &NodeSettings) -> Result<Arc<Net>, Breakdown> {
+        let in_use = |e| Code::PortInUse.because(format_args!("{}: {e}", s.mesh));
+        let lst = TcpListener::bind(&s.mesh).await.map_err(in_use)?;
+        // A node that comes back must outrank what was said of it: its start time is its incarnation.
+        let inc = std::time::SystemTime::now()
+            .duration_since(std::time::UNIX_EPOCH)
+            .map_or(1, |d| d.as_millis() as u64);
+        let (name, addr, district) =
+            (s.name.as_str().into(), s.mesh.as_str().into(), s.district.as_str().into());
+        let me = Rumor { name, addr, district, inc, life: Life::Alive };
+        let seeds = s.seeds.iter().map(|x| x.as_str().into()).collect();
+        Ok(Arc::new(Net {
+            me: me.name.clone(),
+            mesh: Mutex::new(Mesh::new(me, seeds, fastrand::u64(..), now())),
+            table: Mutex::default(),
+            lst: Mutex::new(Some(lst)),
+            caller: Caller::default(),
+        }))
+    }
+    pub fn live(&self) -> Vec<(Name, Name)> {
+        self.mesh.lock().unwrap().live()
+    }
+    pub async fn ask(&self, node: &str, ask: NodeAsk) -> Result<NodeRep, Breakdown> {
+        let addr = self.mesh.lock().unwrap().addr(node);
+        let addr = addr.ok_or_else(|| Code::Unreachable.because(format_args!("node {node} is not known")))?;
+        match self.caller.call::<_, NodeKnocked>(&addr, &NodeKnock::Ask { ask }, ASK).await? {
+            NodeKnocked::Rep { rep } => Ok(rep),
+            NodeKnocked::Taken => Err(Code::Unreachable.because("an answer that is none")),
+        }
+    }
+    /// The same question to many, side by side; whoever does not answer in time is left out.
+    pub async fn ask_all(self: &Arc<Self>, nodes: Vec<Name>, ask: NodeAsk) -> Vec<(Name, Option<NodeRep>)> {
+        let mut set = JoinSet::new();
+        for n in nodes {
+            let (net, ask) = (self.clone(), ask.clone());
+            set.spawn(async move {
+                let r = net.ask(&n, ask).await.ok();
+                (n, r)
+            });
+        }
+        let mut out = set.join_all().await;
+        out.sort_by(|a, b| a.0.cmp(&b.0));
+        out
+    }
+    fn send(self: &Arc<Self>, to: Name, l: Letter) {
+        let net = self.clone();
+        tokio::spawn(async move {
+            let k = NodeKnock::Letter { l };
+            let _ = net.caller.call::<_, NodeKnocked>(&to, &k, Duration::from_millis(400)).await;
+        });
+    }
+    pub async fn leave(self: &Arc<Self>) {
+        let outs = self.mesh.lock().unwrap().leave();
+        outs.into_iter().for_each(|o| {
+            if let Out::Send(to, l) = o {
+                self.send(to, l);
+            }
+        });
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+fn act(f: &Arc<Fleet>, outs: Vec<Out>) {
+    for o in outs {
+        match o {
+            Out::Send(to, l) => f.mesh.send(to, l),
+            Out::Beats(bs) => bs.into_iter().for_each(|b| {
+                heard_beat(f, b);
+            }),
+            Out::Turned(n, l) => log::info!(target: "mesh", "node {n} is now {l:?}"),
+        }
+    }
+}
+
+/// A server's beat, from itself or over the mesh: news is put on the blackboard and spread on.
+pub fn heard_beat(f: &Fleet, b: qh_core::Beat) -> bool {
+    let news = f.node.board.beat(b.clone());
+    if news {
+        f.mesh.mesh.lock().unwrap().spread(b);
+    }
+    news
+}
+
+pub async fn run(f: Arc<Fleet>) {
+    let lst = f.mesh.lst.lock().unwrap().take();
+    if let Some(lst) = lst {
+        let g = f.clone();
+        tokio::spawn(answer(lst, LINKS, move |k: NodeKnock| {
+            let f = g.clone();
+            async move {
+                match k {
+                    NodeKnock::Letter { l } => {
+                        let outs = f.mesh.mesh.lock().unwrap().take(now(), l);
+                        act(&f, outs);
+                        NodeKnocked::Taken
+                    }
+                    NodeKnock::Ask { ask } => NodeKnocked::Rep { rep: asked(&f, ask) },
+                }
+            }
+        }));
+    }
+    let mut round = 0u64;
+    loop {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let outs = f.mesh.mesh.lock().unwrap().tick(now());
+        act(&f, outs);
+        round += 1;
+        if round.is_multiple_of(30) {
+            tokio::spawn(crate::copies::mend(f.clone()));
+        }
+    }
+}
+
+fn asked(f: &Arc<Fleet>, ask: NodeAsk) -> NodeRep {
+    let live = f.mesh.live();
+    let mut t = f.mesh.table.lock().unwrap();
+    match ask {
+        NodeAsk::Store { ctx } => {
+            if t.put(now(), ctx) {
+                NodeRep::Done
+            } else {
+                NodeRep::Found { ctx: None }
+            }
+        }
+        NodeAsk::Find { id } => NodeRep::Found { ctx: t.get(&id) },
+        NodeAsk::Digests { from, sums } => {
+            let mine = t.sums(&f.mesh.me, &from, &live);
+            let ranges = (0..mine.len()).filter(|i| sums.get(*i) != mine.get(*i)).map(|i| i as u8).collect();
+            NodeRep::Differ { ranges }
+        }
+        NodeAsk::Range { from, range, have } => {
+            let mine = t.in_range(&f.mesh.me, &from, &live, range);
+            let (newer, want) = t.compare(&mine, &have);
+            NodeRep::Mend { newer, want }
+        }
+        NodeAsk::Sees { server } => {
+            let row = f.node.board.row(&server);
+            let heard = row.is_some();
+            let st = row.as_ref().map(|r| r.status.lock().unwrap().clone()).unwrap_or_default();
+            let aside = row.is_some_and(|r| !r.health.lock().unwrap().may_serve());
+            NodeRep::Sees { failing_ms: st.failing.map(|at| now().saturating_sub(at)), aside, heard }
+        }
+        NodeAsk::Report { what, key } => {
+            drop(t);
+            NodeRep::Report { json: report::of(f, &what, &key).to_string() }
+        }
+    }
+}
--- /dev/null
+++ b/crates/qhd/src/ops.rs
@@ -0,0 +1,219 @@
+//! Operators' calls at a node's desk, answered for the whole fleet (§8.2).
+use crate::{Fleet, report};
+use qh_core::blueprint::{Blueprint, matches};
+use qh_core::{Breakdown, Code, Name};
+use qh_mesh::{NodeAsk, NodeRep};
+use qh_state::{Answer, Ask, Cmd, Machine, Rep};
+use serde_json::{Value, json};
+use std::sync::Arc;
+use std::time::Duration;
+
+const PUSH: Duration = Duration::from_secs(12);
+
+pub async fn answer(f: &Arc<Fleet>, what: &str, b: &Value) -> Result<Value, Breakdown> {
+    let txt = |k: &str| b.get(k).and_then(Value::as_str).unwrap_or_default().to_owned();
+    match what {
+        "status" => Ok(status(f).await),
+        "nodes" => Ok(fan_out(f, "node", "").await),
+        "servers" => Ok(json!({"node": f.node.set.name, "servers": report::of(f, "servers", "")})),
+        "placements" => placements(f),
+        "push" => push(f, &txt("text"), b).await,
+        "history" => history(f),
+        "rollback" => rollback(f, b).await,
+        "explain" => {
+            let (kind, key) =
+                [("server", txt("server")), ("visit", txt("visit")), ("promotions", txt("promotions"))]
+                    .into_iter()
+                    .find(|(_, v)| !v.is_empty())
+                    .ok_or_else(|| Code::Malformed.because("explain takes server, visit or promotions"))?;
+            Ok(fan_out(f, kind, &key).await)
+        }
+        "promote" => {
+            let g: Name = txt("group").into();
+            if f.node.board.lead(&g).is_none() {
+                return Err(Code::NoSuchServer.because(format_args!("no group is called {g:?}")));
+            }
+            let to = Some(Name::from(txt("to"))).filter(|t| !t.is_empty());
+            let ask = to.as_ref().map_or_else(String::new, |t| t.to_string());
+            let key = format!("{g}={ask}").into();
+            let live: Vec<Name> = f.mesh.live().into_iter().map(|(n, _)| n).collect();
+            let owner = qh_mesh::duty::owner(&qh_state::store::duty_of(&g), &live).cloned();
+            let owner = owner.ok_or_else(|| Code::NoMajority.bare())?;
+            f.mesh.ask(&owner, NodeAsk::Report { what: "ask-promote".into(), key }).await?;
+            Ok(json!({"asked": owner, "group": g}))
+        }
+        "members" => members(f, b).await,
+        _ => Err(Code::NoSuchCall.bare()),
+    }
+}
+
+/// Every node's account, side by side; one that does not answer is listed as silent.
+async fn fan_out(f: &Arc<Fleet>, what: &str, key: &str) -> Value {
+    let mut names: Vec<Name> = f.mesh.mesh.lock().unwrap().rumors().into_iter().map(|r| r.name).collect();
+    names.push(f.mesh.me.clone());
+    let got = f.mesh.ask_all(names, NodeAsk::Report { what: what.into(), key: key.into() }).await;
+    let rows = got.into_iter().map(|(n, r)| match r {
+        Some(NodeRep::Report { json }) => {
+            let v: Value = serde_json::from_str(&json).unwrap_or(Value::Null);
+            json!({"node": n, "answer": v})
+        }
+        _ => json!({"node": n, "silent": true}),
+    });
+    json!({"nodes": rows.collect::<Vec<_>>()})
+}
+
+async fn status(f: &Arc<Fleet>) -> Value {
+    let keepers: Vec<Value> = f
+        .chain
+        .all()
+        .await
+        .into_iter()
+        .map(|(name, addr, st)| {
+            st.map_or_else(
+                || json!({"name": name, "addr": addr, "silent": true}),
+                |s| {
+                    json!({"name": name, "addr": addr, "why": s.why, "view": s.view.edition, "n": s.n,
+                    "committed": s.committed, "in_force": s.in_force, "leases": s.leases.len()})
+                },
+            )
+        })
+        .collect();
+    let v = f.chain.view();
+    let plan = f.node.board.plan();
+    let leads: Vec<Value> = plan
+        .leads
+        .iter()
+        .map(|(g, l)| json!({"group": g, "server": l.server, "fence": l.fence, "by": l.by}))
+        .collect();
+    let nodes = fan_out(f, "node", "").await;
+    json!({"edition": plan.edition, "change": plan.n, "view": v, "keepers": keepers, "leads": leads,
+        "nodes": nodes["nodes"]})
+}
+
+fn placements(f: &Fleet) -> Result<Value, Breakdown> {
+    let plan = f.node.board.plan();
+    let bp = plan.blueprint.clone().ok_or_else(|| Code::NoBlueprint.bare())?;
+    let of = |p: &qh_core::blueprint::Placement| -> Vec<Name> {
+        f.node.board.placed(p).iter().map(|r| r.name.clone()).collect()
+    };
+    let rows: Vec<Value> = bp
+        .placements
+        .iter()
+        .map(|p| {
+            let rules: Vec<&str> = bp.rules.iter().filter(|r| r.placement == p.name).map(|r| r.name.as_str()).collect();
+            json!({"placement": p.name, "select": p.select, "except": p.except, "servers": of(p), "rules": rules})
+        })
+        .collect();
+    Ok(json!({"edition": plan.edition, "placements": rows}))
+}
+
+/// Lines of the blueprint in force that go, and of the new one that come.
+fn diff(old: &str, new: &str) -> Vec<String> {
+    let lines = |t: &str| -> Vec<String> {
+        let v: Value = serde_json::from_str(t).unwrap_or(Value::Null);
+        let mut out = Vec::new();
+        flat("", &v, &mut out);
+        out
+    };
+    let (a, b) = (lines(old), lines(new));
+    let gone = a.iter().filter(|l| !b.contains(l)).map(|l| format!("- {l}"));
+    let come = b.iter().filter(|l| !a.contains(l)).map(|l| format!("+ {l}"));
+    gone.chain(come).collect()
+}
+
+fn flat(at: &str, v: &Value, out: &mut Vec<String>) {
+    match v {
+        Value::Object(m) => m.iter().for_each(|(k, v)| flat(&format!("{at}.{k}"), v, out)),
+        Value::Array(a) if a.iter().any(Value::is_object) => a.iter().enumerate().for_each(|(i, v)| {
+            let name = v.get("name").and_then(Value::as_str).map_or_else(|| i.to_string(), str::to_owned);
+            flat(&format!("{at}[{name}]"), v, out);
+        }),
+        v => out.push(format!("{} = {v}", at.trim_start_matches('.'))),
+    }
+}
+
+async fn push(f: &Fleet, text: &str, b: &Value) -> Result<Value, Breakdown> {
+    let bp = Blueprint::read(text)?;
+    let json = bp.to_json();
+    let (edition, old) = {
+        let s = f.store.lock().unwrap();
+        (s.edition(), s.blueprint().map_or_else(String::new, |k| k.text.clone()))
+    };
+    let diff = diff(&old, &json);
+    let empty: Vec<&str> = bp
+        .placements
+        .iter()
+        .filter(|p| !f.node.board.rows().iter().any(|r| matches(&p.select, &r.beat.read().unwrap().labels)))
+        .map(|p| p.name.as_str())
+        .collect();
+    if b.get("dry_run").and_then(Value::as_bool) == Some(true) {
+        return Ok(json!({"valid": true, "builds_on": edition, "diff": diff, "no_server_yet": empty}));
+    }
+    let base = b.get("base").and_then(Value::as_u64).unwrap_or(edition);
+    let key = b.get("key").and_then(Value::as_str).filter(|k| !k.is_empty() && k.len() <= 128);
+    let key = key.ok_or_else(|| Code::Malformed.because("a push needs a key of 1 to 128 bytes"))?;
+    let by = b.get("by").and_then(Value::as_str).unwrap_or("operator").into();
+    let cmd = Cmd::Push { base, text: json, by };
+    match f.chain.write(&format!("push/{key}"), cmd, PUSH).await? {
+        Answer::Edition(e) => Ok(json!({"edition": e, "diff": diff, "no_server_yet": empty})),
+        _ => Err(Code::ChainDown.because("an answer that is none")),
+    }
+}
+
+fn history(f: &Fleet) -> Result<Value, Breakdown> {
+    let s = f.store.lock().unwrap();
+    let rows: Vec<Value> = s
+        .history
+        .iter()
+        .map(|k| {
+            json!({"edition": k.edition, "by": k.by, "bytes": k.text.len(),
+            "blueprint": serde_json::from_str::<Value>(&k.text).unwrap_or(Value::Null)})
+        })
+        .collect();
+    Ok(json!({"history": rows}))
+}
+
+/// A new edition with an old one's content.
+async fn rollback(f: &Fleet, b: &Value) -> Result<Value, Breakdown> {
+    let want = b.get("edition").and_then(Value::as_u64).unwrap_or(0);
+    let text = f.store.lock().unwrap().kept(want).map(|k| k.text.clone());
+    let text = text.ok_or_else(|| Code::NoSuchEdition.because(want))?;
+    push(f, &text, b).await
+}
+
+/// The disk machines; with a change, one comes or goes (§5.3).
+async fn members(f: &Fleet, b: &Value) -> Result<Value, Breakdown> {
+    let any = f.chain.any();
+    f.chain.learn_from(&any).await;
+    let v = f.chain.view();
+    let add = b.get("add").and_then(Value::as_str).and_then(|a| a.split_once('='));
+    let gone = b.get("remove").and_then(Value::as_str);
+    let mut machines = v.machines.clone();
+    if let Some((n, a)) = add {
+        a.parse::<std::net::SocketAddr>().map_err(|_| Code::Malformed.because("add takes name=ip:port"))?;
+        machines.push(Machine { name: n.into(), addr: a.into() });
+    }
+    if let Some(n) = gone {
+        machines.retain(|m| m.name != n);
+    }
+    if machines == v.machines {
+        return Ok(json!({"view": v}));
+    }
+    match f
+        .chain
+        .ask(&f.chain.head(), Ask::Machines { edition: v.edition, machines }, Duration::from_secs(2))
+        .await?
+    {
+        Rep::Declined { why } => Err(why),
+        _ => {
+            for _ in 0..20 {
+                tokio::time::sleep(Duration::from_millis(150)).await;
+                f.chain.learn_from(&f.chain.head()).await;
+                if f.chain.view().edition > v.edition {
+                    return Ok(json!({"view": f.chain.view()}));
+                }
+            }
+            Err(Code::MemberChange.because("the view did not change in time; look at `qh members`").unknown())
+        }
+    }
+}
--- /dev/null
+++ b/crates/qhk/src/main.rs
@@ -0,0 +1,130 @@
+//! qhk: a chain keeper, on a machine with a disk (§5).
+use qh_core::settings::{KeeperSettings, read};
+use qh_core::{Breakdown, Code, now};
+use qh_state::disk::Disk;
+use qh_state::{Keeper, Machine, View, drive};
+
+const HELP: &str = "qhk: a chain keeper of quincehatch
+
+usage: qhk --settings FILE [--init | --join | --check]
+
+  --settings FILE   the settings file (TOML)
+  --init            first start of the whole chain: make the data folder
+  --join            first start of a machine that `qh members --add` brings in
+  --check           check the settings and end
+  --log SPEC        like info, or debug,chain=trace; wins over the file
+  -h, --help        this text
+  -V, --version     the version";
+
+#[derive(Default)]
+struct Args {
+    file: Option<String>,
+    log: Option<String>,
+    init: bool,
+    join: bool,
+    check: bool,
+}
+
+fn bad(e: impl std::fmt::Display) -> Breakdown {
+    Code::BadSettings.because(e)
+}
+
+fn args() -> Result<Option<Args>, Breakdown> {
+    use lexopt::prelude::*;
+    let mut p = lexopt::Parser::from_env();
+    let mut a = Args::default();
+    while let Some(x) = p.next().map_err(bad)? {
+        match x {
+            Short('h') | Long("help") => {
+                println!("{HELP}");
+                return Ok(None);
+            }
+            Short('V') | Long("version") => {
+                println!("qhk {}", env!("CARGO_PKG_VERSION"));
+                return Ok(None);
+            }
+            Long("settings") => a.file = Some(p.value().and_then(|v| v.string()).map_err(bad)?),
+            Long("log") => a.log = Some(p.value().and_then(|v| v.string()).map_err(bad)?),
+            Long("init") => a.init = true,
+            Long("join") => a.join = true,
+            Long("check") => a.check = true,
+            other => return Err(bad(other.unexpected())),
+        }
+    }
+    if a.init && a.join {
+        return Err(bad("--init and --join exclude each other"));
+    }
+    Ok(Some(a))
+}
+
+fn settings(a: &Args) -> Result<KeeperSettings, Breakdown> {
+    let file = a.file.as_ref().ok_or_else(|| bad("--settings is missing"))?;
+    let mut s: KeeperSettings = read(file)?;
+    if let Some(l) = &a.log {
+        s.log = l.clone();
+    }
+    s.check().map(|()| s)
+}
+
+/// The view a fresh folder begins with: all machines at first, none for one that joins.
+fn first(a: &Args, s: &KeeperSettings) -> Option<View> {
+    let machines: Vec<Machine> =
+        s.machines().into_iter().map(|(n, ad)| Machine { name: n.into(), addr: ad.into() }).collect();
+    let members = machines.iter().map(|m| m.name.clone()).collect();
+    match (a.init, a.join) {
+        (true, _) => Some(View { edition: 1, members, machines }),
+        (_, true) => Some(View::default()),
+        _ => None,
+    }
+}
+
+fn main() {
+    let a = match args() {
+        Ok(Some(a)) => a,
+        Ok(None) => return,
+        Err(b) => {
+            eprintln!("qhk: {b}");
+            std::process::exit(2);
+        }
+    };
+    let set = match settings(&a) {
+        Ok(s) => s,
+        Err(b) => {
+            eprintln!("qhk: {b}");
+            std::process::exit(2);
+        }
+    };
+    if a.check {
+        println!("the settings are valid");
+        return;
+    }
+    let rt = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    if let Err(b) = rt.map_err(bad).and_then(|rt| rt.block_on(serve(&a, &set))) {
+        eprintln!("qhk: {b}");
+        std::process::exit(1);
+    }
+}
+
+async fn serve(a: &Args, set: &KeeperSettings) -> Result<(), Breakdown> {
+    let _log = qh_core::logs::start(&set.log).map_err(bad)?;
+    let (disk, found) = Disk::open(std::path::Path::new(&set.data), &set.name, first(a, set))?;
+    let lst = tokio::net::TcpListener::bind(&set.addr)
+        .await
+        .map_err(|e| Code::PortInUse.because(format_args!("{}: {e}", set.addr)))?;
+    log::info!(target: "chain", "keeper {} listens on {}, view {}, change {}", set.name, set.addr,
+        found.view.edition, found.store.n);
+    let keeper = Keeper::new(set.name.as_str().into(), now(), found);
+    let (tx, rx) = tokio::sync::watch::channel(false);
+    tokio::spawn(async move {
+        use tokio::signal::unix::{SignalKind, signal};
+        let (Ok(mut t), Ok(mut i)) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+        else {
+            return;
+        };
+        tokio::select! { _ = t.recv() => {}, _ = i.recv() => {} }
+        log::info!(target: "chain", "stopping");
+        let _ = tx.send(true);
+        std::future::pending::<()>().await;
+    });
+    drive::run(keeper, disk, lst, rx).await
+}
--- /dev/null
+++ b/crates/qhlab/src/args.rs
@@ -0,0 +1,103 @@
+//! Flags of qhlab.
+use qh_lab::{fleet, stand};
+
+const HELP: &str = "qhlab: the lab of quincehatch
+
+usage: qhlab fleet up [--shape thin|small|scripwell|lensbridge] [--dir DIR] [--port N]
+       qhlab stand --name NAME --addr IP:PORT [--label K=V] [--peer IP:PORT] [--desk IP:PORT] [--data DIR]
+       qhlab platform --addr IP:PORT --door DISTRICT=IP:PORT ...
+
+  fleet up    starts a whole fleet on loopback, pushes a blueprint, and runs until Enter or a signal
+  stand       one stand-in database server
+  platform    the platform's stand-in
+
+  -h, --help     this text
+  -V, --version  the version";
+
+pub enum Cmd {
+    Stand(stand::Args),
+    Platform { addr: String, doors: Vec<(String, String)> },
+    Up(Up),
+}
+
+#[derive(Debug, Clone)]
+pub struct Up {
+    pub shape: String,
+    pub dir: String,
+    pub port: u16,
+}
+
+/// Flags as pairs, and the words that are none.
+pub struct Bag {
+    pub words: Vec<String>,
+    pub flags: Vec<(String, String)>,
+}
+
+impl Bag {
+    pub fn one(&self, k: &str) -> Option<String> {
+        self.flags.iter().rev().find(|(f, _)| f == k).map(|(_, v)| v.clone())
+    }
+    pub fn all(&self, k: &str) -> Vec<String> {
+        self.flags.iter().filter(|(f, _)| f == k).map(|(_, v)| v.clone()).collect()
+    }
+    pub fn need(&self, k: &str) -> Result<String, String> {
+        self.one(k).ok_or_else(|| format!("--{k} is missing"))
+    }
+    pub fn num<T: std::str::FromStr>(&self, k: &str, or: T) -> Result<T, String> {
+        self.one(k)
+            .map_or(Ok(or), |v| v.parse().map_err(|_| format!("--{k}: {v:?} is not a number in range")))
+    }
+}
+
+const FLAGS: &[&str] =
+    &["shape", "dir", "port", "name", "addr", "label", "peer", "desk", "data", "shown", "door"];
+
+pub fn read() -> Result<Option<Cmd>, String> {
+    use lexopt::prelude::*;
+    let mut p = lexopt::Parser::from_env();
+    let mut b = Bag { words: vec![], flags: vec![] };
+    while let Some(a) = p.next().map_err(|e| e.to_string())? {
+        match a {
+            Short('h') | Long("help") => {
+                println!("{HELP}");
+                return Ok(None);
+            }
+            Short('V') | Long("version") => {
+                println!("qhlab {}", env!("CARGO_PKG_VERSION"));
+                return Ok(None);
+            }
+            Long(k) if FLAGS.contains(&k) => {
+                let k = k.to_owned();
+                let v = p.value().and_then(|v| v.string()).map_err(|e| e.to_string())?;
+                b.flags.push((k, v));
+            }
+            Value(v) => b.words.push(v.string().map_err(|e| e.to_string())?),
+            other => return Err(other.unexpected().to_string()),
+        }
+    }
+    let words: Vec<&str> = b.words.iter().map(String::as_str).collect();
+    match words.as_slice() {
+        ["stand"] => Ok(Some(Cmd::Stand(stand::Args {
+            name: b.need("name")?,
+            addr: b.need("addr")?,
+            labels: fleet::labels(&b.all("label")),
+            peers: b.all("peer"),
+            desks: b.all("desk"),
+            data: b.one("data").map(Into::into),
+            shown: b.one("shown"),
+        }))),
+        ["platform"] => {
+            let doors = b.all("door");
+            let doors =
+                doors.iter().filter_map(|d| d.split_once('=')).map(|(d, a)| (d.into(), a.into())).collect();
+            Ok(Some(Cmd::Platform { addr: b.need("addr")?, doors }))
+        }
+        ["fleet", "up"] => Ok(Some(Cmd::Up(Up {
+            shape: b.one("shape").unwrap_or_else(|| "small".into()),
+            dir: b.one("dir").unwrap_or_else(|| "run/fleet".into()),
+            port: b.num("port", 21_000)?,
+        }))),
+        [] => Err("a command is missing".into()),
+        w => Err(format!("`{}` is not a command", w.join(" "))),
+    }
+}
--- /dev/null
+++ b/crates/qhlab/src/main.rs
@@ -0,0 +1,38 @@
+//! qhlab: stand-ins, a whole fleet on one machine, load, faults, checks (§9).
+mod args;
+mod up;
+
+use qh_lab::{platform, stand};
+
+fn main() {
+    let cmd = match args::read() {
+        Ok(Some(c)) => c,
+        Ok(None) => return,
+        Err(e) => {
+            eprintln!("qhlab: {e}\ntry `qhlab --help`");
+            std::process::exit(2);
+        }
+    };
+    let rt = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    let done = rt.block_on(async {
+        match cmd {
+            args::Cmd::Stand(a) => {
+                let _log = qh_core::logs::start("info")?;
+                stand::run(a).await.map_err(|e| e.to_string())
+            }
+            args::Cmd::Platform { addr, doors } => {
+                platform::run(&addr, doors).await.map_err(|e| e.to_string())
+            }
+            args::Cmd::Up(u) => up::run(u).await,
+        }
+    });
+    if let Err(e) = done {
+        eprintln!("qhlab: {e}");
+        std::process::exit(1);
+    }
+    std::process::exit(0);
+}
--- /dev/null
+++ b/crates/qhlab/src/up.rs
@@ -0,0 +1,73 @@
+//! `qhlab fleet up`: a fleet to try things on (§9.1).
+use crate::args::Up;
+use qh_core::http::{Call, once};
+use qh_lab::fleet::{Plan, Running, Shape, TOKEN, plan};
+use serde_json::{Value, json};
+use std::time::{Duration, Instant};
+
+/// Starts the fleet and waits until every node is ready.
+pub async fn start(u: &Up) -> Result<Running, String> {
+    let shape = Shape::of(&u.shape, u.port).ok_or_else(|| format!("there is no shape {:?}", u.shape))?;
+    let dir = std::path::absolute(&u.dir).map_err(|e| e.to_string())?;
+    if dir.exists() {
+        std::fs::remove_dir_all(&dir).map_err(|e| format!("{}: {e}", dir.display()))?;
+    }
+    let p = plan(&dir, &shape).map_err(|e| e.to_string())?;
+    let r = Running::start(p).map_err(|e| e.to_string())?;
+    push(&r.plan, Duration::from_secs(20)).await?;
+    ready(&r.plan, Duration::from_secs(30)).await?;
+    Ok(r)
+}
+
+async fn push(p: &Plan, within: Duration) -> Result<(), String> {
+    let text = std::fs::read_to_string(&p.blueprint).map_err(|e| e.to_string())?;
+    let body = json!({"text": text, "key": "first", "base": 0, "by": "qhlab"});
+    let until = Instant::now() + within;
+    loop {
+        let c = Call { method: "POST", path: "/op/push", body: &body, token: Some(TOKEN) };
+        let got = once(&p.nodes[0].desk, &c, Duration::from_secs(13)).await;
+        match got {
+            Ok((200, _)) => return Ok(()),
+            _ if Instant::now() < until => tokio::time::sleep(Duration::from_millis(200)).await,
+            got => return Err(format!("the blueprint could not be pushed: {got:?}")),
+        }
+    }
+}
+
+/// Every node ready with nothing reduced.
+pub async fn ready(p: &Plan, within: Duration) -> Result<(), String> {
+    let until = Instant::now() + within;
+    for n in &p.nodes {
+        loop {
+            let c = Call { method: "GET", path: "/ready", body: &Value::Null, token: None };
+            let got = once(&n.door, &c, Duration::from_secs(1)).await;
+            let whole = got
+                .as_ref()
+                .is_ok_and(|(s, v)| *s == 200 && v["reduced"].as_array().is_some_and(Vec::is_empty));
+            if whole {
+                break;
+            }
+            if Instant::now() > until {
+                return Err(format!("node {} did not get ready: {got:?}", n.name));
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+    Ok(())
+}
+
+pub async fn run(u: Up) -> Result<(), String> {
+    let r = start(&u).await?;
+    println!("the fleet is up; settings, logs and data are in {}", r.plan.dir.display());
+    for n in &r.plan.nodes {
+        println!("node {} in {}: origins at http://{}, desk at {}", n.name, n.district, n.door, n.desk);
+    }
+    println!("platform at {}", r.plan.platform);
+    println!("try: qh --node {} --token {TOKEN} status", r.plan.nodes[0].desk);
+    println!("stop with Ctrl-C");
+    use tokio::signal::unix::{SignalKind, signal};
+    let mut term = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
+    tokio::select! { _ = tokio::signal::ctrl_c() => {}, _ = term.recv() => {} }
+    drop(r);
+    Ok(())
+}
