--- a/crates/qh-data/src/node.rs
+++ b/crates/qh-data/src/node.rs
@@ -198,6 +198,8 @@
             Ok(_) => filters::pass(self, &mut v).await,
             Err(b) => Err(b),
         };
+        // Whoever asks after a try learns that nothing was kept only from its seal (§4.6).
+        let a = a.map_err(|b| if what == What::Outcome && !b.is(Code::Sealed) { b.unknown() } else { b });
         self.in_hand.fetch_sub(1, Ordering::SeqCst);
         self.count(&v, &a);
         v.reply(&a)
--- a/crates/qh-lab/src/lib.rs
+++ b/crates/qh-lab/src/lib.rs
@@ -2,6 +2,10 @@
 pub mod db;
 mod db_repl;
 pub mod fleet;
+pub mod history;
+pub mod load;
 pub mod platform;
+pub mod scenario;
+pub mod script;
 pub mod stand;
 pub mod stmt;
--- /dev/null
+++ b/crates/qh-lab/src/scenario.rs
@@ -0,0 +1,250 @@
+//! Runs callers and a script of faults against a real fleet, then asks whether a must-never happened (§9.4).
+use crate::fleet::{Plan, Running, TOKEN};
+use crate::history::{Facts, PushRow, check, gap_after};
+use crate::load::{Caller, World};
+use crate::script::{Act, Step, Who, broken, marked};
+use qh_core::http::{Call, once, post};
+use qh_core::now;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+/// How a run is to be done.
+#[derive(Clone, Debug)]
+pub struct Opts {
+    pub scenario: String,
+    pub seconds: u64,
+    pub callers: usize,
+    pub pause_ms: u64,
+    pub seed: u64,
+}
+
+#[derive(Debug, Default)]
+pub struct Outcome {
+    pub breaches: Vec<String>,
+    pub summary: String,
+    pub gaps: BTreeMap<String, u64>,
+    pub kept: usize,
+    pub tries: usize,
+    pub lookups: (u64, u64),
+}
+
+pub async fn op(desk: &str, what: &str, body: &Value, ms: u64) -> Option<(u16, Value)> {
+    let path = format!("/op/{what}");
+    let c = Call { method: "POST", path: &path, body, token: Some(TOKEN) };
+    once(desk, &c, Duration::from_millis(ms)).await.ok()
+}
+
+/// The fleet's status, from whichever node answers.
+async fn status(p: &Plan) -> Value {
+    for n in &p.nodes {
+        if let Some((200, v)) = op(&n.desk, "status", &json!({}), 1_500).await {
+            return v;
+        }
+    }
+    Value::Null
+}
+
+async fn find(p: &Plan, who: &Who, hit: &BTreeMap<&'static str, String>) -> Option<String> {
+    let lead = |v: &Value, g: &str| {
+        v["leads"].as_array()?.iter().find(|l| l["group"] == g).and_then(|l| l["server"].as_str().map(str::to_owned))
+    };
+    let member = |v: &Value, tail: bool| {
+        let m = v["view"]["members"].as_array()?;
+        (if tail { m.last() } else { m.first() })?.as_str().map(str::to_owned)
+    };
+    match who {
+        Who::Name(n) => Some(n.clone()),
+        Who::Same(l) => hit.get(l).cloned(),
+        Who::Lead(g) => lead(&status(p).await, g),
+        Who::Replica(g) => {
+            let l = lead(&status(p).await, g);
+            p.servers.iter().find(|s| s.group == *g && Some(&s.name) != l.as_ref()).map(|s| s.name.clone())
+        }
+        Who::Head => member(&status(p).await, false),
+        Who::Tail => member(&status(p).await, true),
+    }
+}
+
+async fn lab(p: &Plan, server: &str, path: &str, body: &Value) -> Option<Value> {
+    let addr = p.servers.iter().find(|s| s.name == server)?.addr.clone();
+    post(&addr, path, body, Duration::from_secs(5)).await.ok().map(|(_, v)| v)
+}
+
+async fn pushes(p: &Plan, w: &Arc<World>, mark: u64) {
+    let text = std::fs::read_to_string(&p.blueprint).unwrap_or_default();
+    let Some(edition) = status(p).await["edition"].as_u64() else { return };
+    let push = |desk: String, base: u64, text: String, key: String| {
+        let w = w.clone();
+        async move {
+            let body = json!({"text": text, "base": base, "key": key, "by": "lab"});
+            let got = op(&desk, "push", &body, 14_000).await;
+            if let Some((200, v)) = &got {
+                let row = PushRow { edition: v["edition"].as_u64().unwrap_or(0), acked: now() };
+                w.book.lock().unwrap().pushes.push(row);
+            }
+            got
+        }
+    };
+    let desk = |i: usize| p.nodes[i % p.nodes.len()].desk.clone();
+    let (a, b, bad) = tokio::join!(
+        push(desk(0), edition, marked(&text, mark), format!("a{mark}")),
+        push(desk(1), edition, marked(&text, mark + 1), format!("b{mark}")),
+        push(desk(2), edition, broken(), format!("x{mark}")),
+    );
+    let code = |r: &Option<(u16, Value)>| r.as_ref().and_then(|(_, v)| v["error"]["code"].as_u64());
+    let spot = |s: String| w.book.lock().unwrap().spot.push(s);
+    if bad.is_some() && code(&bad) != Some(1601) {
+        spot(format!("N11 a broken blueprint was not declined as such: {bad:?}"));
+    }
+    let won = |r: &Option<(u16, Value)>| matches!(r, Some((200, _)));
+    if won(&a) && won(&b) {
+        spot("N11 two pushes on one edition were both acknowledged".into());
+    }
+    if won(&a) {
+        let again = push(desk(1), edition, marked(&text, mark), format!("a{mark}")).await;
+        let same = |r: &Option<(u16, Value)>| r.as_ref().map(|(_, v)| v["edition"].clone());
+        if again.is_some() && won(&again) && same(&again) != same(&a) {
+            spot(format!("N11 a push sent twice was taken twice: {again:?}"));
+        }
+    }
+}
+
+async fn act(r: &mut Running, w: &Arc<World>, s: &Step, hit: &mut BTreeMap<&'static str, String>) -> Option<String> {
+    let name = find(&r.plan, &s.who, hit).await?;
+    hit.insert(s.label, name.clone());
+    match &s.act {
+        Act::Kill => r.kill(&name),
+        Act::Start => r.spawn(&name, true).ok()?,
+        Act::Stop => {
+            if !tokio::task::block_in_place(|| r.stop(&name, Duration::from_secs(12))) {
+                w.book.lock().unwrap().spot.push(format!("{name} did not stop in order"));
+            }
+        }
+        Act::Pause => r.signal(&name, "STOP"),
+        Act::Go => r.signal(&name, "CONT"),
+        Act::Fault(wish) => {
+            lab(&r.plan, &name, "/lab/fault", &json!(wish)).await;
+        }
+        Act::Leave => {
+            lab(&r.plan, &name, "/lab/leave", &json!({})).await;
+        }
+        Act::Back => {
+            lab(&r.plan, &name, "/lab/leave", &json!({"back": true})).await;
+        }
+        Act::Pushes => {
+            let (p, w) = (r.plan.clone(), w.clone());
+            tokio::spawn(async move { pushes(&p, &w, now()).await });
+        }
+    }
+    Some(name)
+}
+
+/// Runs the script; the fleet is up and ready when it begins.
+pub async fn run(r: &mut Running, script: Vec<Step>, o: &Opts) -> Outcome {
+    let w = Arc::new(World {
+        book: Default::default(),
+        platform: r.plan.platform.clone(),
+        groups: r.plan.shape.groups,
+        districts: r.plan.shape.districts,
+        pause_ms: o.pause_ms,
+        lookup_ms: if r.plan.shape.name == "lensbridge" { 5_000 } else { 3_000 },
+        orders_pm: 690,
+        stop: AtomicBool::new(false),
+        sent: Default::default(),
+        calls: Default::default(),
+    });
+    let tasks: Vec<_> = (0..o.callers).map(|i| tokio::spawn(Caller::new(w.clone(), i, o.seed).run())).collect();
+    let began = now();
+    let mut hit = BTreeMap::new();
+    let mut faults = Vec::new();
+    for s in &script {
+        tokio::time::sleep(Duration::from_millis((began + s.at).saturating_sub(now()))).await;
+        let at = now();
+        let name = act(r, &w, s, &mut hit).await;
+        let word = if s.last { "final" } else { "fault" };
+        faults.push((at, format!("{word} {:?} {}", s.act, name.unwrap_or_else(|| "nobody".into()))));
+    }
+    tokio::time::sleep(Duration::from_millis((began + o.seconds * 1_000).saturating_sub(now()))).await;
+    w.stop.store(true, Ordering::SeqCst);
+    for t in tasks {
+        let _ = tokio::time::timeout(Duration::from_secs(10), t).await;
+    }
+    settle(&w, o).await;
+    let facts = facts(&r.plan).await;
+    let sent = w.sent.lock().unwrap().clone();
+    let h = w.book.lock().unwrap();
+    let first = faults.first().map_or(began, |f| f.0);
+    let ends = |e: crate::history::End| h.tries.values().filter(|t| t.ends.iter().any(|x| x.0 == e)).count();
+    use crate::history::End::{Kept, Lost, Nothing, Unknown};
+    let summary = format!(
+        "{}: {} tries, {} kept, {} told nothing, {} unknown, {} lost, {} lookups, {} failed, {} late, longest gap {:?} ms",
+        o.scenario, h.tries.len(), ends(Kept), ends(Nothing), ends(Unknown), ends(Lost), h.lookups.0, h.lookups.1,
+        h.late, gap_after(&h, first)
+    );
+    let mut breaches = check(&h, &facts, &sent, &faults);
+    if facts.lists.is_empty() || ends(Kept) == 0 {
+        breaches.push("nothing was kept at all: the run proves nothing".into());
+    }
+    Outcome {
+        breaches,
+        summary,
+        gaps: gap_after(&h, first),
+        kept: ends(Kept),
+        tries: h.tries.len(),
+        lookups: h.lookups,
+    }
+}
+
+/// Every try in doubt is asked after until it is settled, so that the check can be strict.
+async fn settle(w: &Arc<World>, o: &Opts) {
+    let doubt: Vec<(String, usize)> = {
+        let h = w.book.lock().unwrap();
+        let last = |t: &crate::history::TryRow| t.ends.last().is_some_and(|e| e.0 != crate::history::End::Kept);
+        let open = h.tries.values().filter(|t| last(t) && !t.sealed);
+        let id = |k: &str| k[1..].split('-').next().and_then(|n| n.parse().ok()).unwrap_or(0);
+        open.map(|t| (t.key.clone(), id(&t.key))).collect()
+    };
+    for (key, id) in doubt {
+        let mut c = Caller::new(w.clone(), id, o.seed);
+        for _ in 0..40 {
+            let end = c.ask_after(&key).await;
+            let sealed = w.book.lock().unwrap().tries.get(&key).is_some_and(|t| t.sealed);
+            if end == crate::history::End::Kept || sealed {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
+    }
+}
+
+/// What the servers hold: from whoever of a group has the most visible, and from each what it ran.
+async fn facts(p: &Plan) -> Facts {
+    let mut f = Facts::default();
+    let mut best: BTreeMap<String, (u64, Value)> = BTreeMap::new();
+    for s in &p.servers {
+        let Some(v) = lab(p, &s.name, "/lab/facts", &json!({})).await else { continue };
+        f.late_work += v["late_work"].as_u64().unwrap_or(0);
+        let c = v["commit"].as_u64().unwrap_or(0);
+        let lead = v["role"] == "Primary";
+        let e = best.entry(s.group.clone()).or_default();
+        if c > e.0 || (c == e.0 && lead) {
+            *e = (c, v["kv"].clone());
+        }
+        let ran = lab(p, &s.name, "/lab/journal", &json!({})).await.unwrap_or(Value::Null);
+        for row in ran.as_array().into_iter().flatten() {
+            let mark = row["params"][1].as_str().unwrap_or_default().to_owned();
+            let text = row["text"].as_str().unwrap_or_default().to_owned();
+            f.ran.push((s.name.clone(), row["txn"].as_u64().unwrap_or(0), text, mark));
+        }
+    }
+    for (g, (_, kv)) in best {
+        for (k, v) in kv.as_object().into_iter().flatten().filter(|(k, _)| k.starts_with("orders/")) {
+            let keys = v.as_array().into_iter().flatten().filter_map(|x| x.as_str().map(str::to_owned)).collect();
+            f.lists.insert((g.clone(), k.clone()), keys);
+        }
+    }
+    f
+}
--- /dev/null
+++ b/crates/qh-lab/src/script.rs
@@ -0,0 +1,180 @@
+//! Scripts of faults for a real fleet (§9.2): what is done to whom, and when.
+use crate::stand::faults::Wish;
+use serde_json::json;
+
+/// Whom an act is meant for; leads and chain places are looked up when it is done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Who {
+    Name(String),
+    /// The server that leads the group at that time.
+    Lead(String),
+    /// Some replica of the group.
+    Replica(String),
+    Head,
+    Tail,
+    /// Whoever an earlier act with this label hit.
+    Same(&'static str),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Act {
+    Kill,
+    Start,
+    /// A graceful stop.
+    Stop,
+    Pause,
+    Go,
+    Fault(Wish),
+    Leave,
+    Back,
+    /// Two pushes at once, one stale, one broken, then one that is sent twice.
+    Pushes,
+}
+
+#[derive(Clone, Debug)]
+pub struct Step {
+    pub at: u64,
+    pub who: Who,
+    pub act: Act,
+    pub label: &'static str,
+    /// Service must be back within the bound after this.
+    pub last: bool,
+}
+
+fn step(at: u64, who: Who, act: Act, label: &'static str) -> Step {
+    Step { at, who, act, label, last: false }
+}
+fn last(mut s: Step) -> Step {
+    s.last = true;
+    s
+}
+fn wish(f: impl FnOnce(&mut Wish)) -> Act {
+    let mut w = Wish::default();
+    f(&mut w);
+    Act::Fault(w)
+}
+fn name(n: &str) -> Who {
+    Who::Name(n.into())
+}
+
+pub const ALL: &[&str] = &[
+    "calm", "lead-killed", "lead-paused", "lead-stalled", "lead-leaves", "lost-answers", "replica-stalled",
+    "replica-dark", "replica-killed", "resets", "all-bad", "lagging", "node-killed", "node-paused",
+    "nodes-restarted", "head-killed", "tail-killed", "keeper-paused", "pushes", "mixed", "lag-and-kill",
+];
+
+/// The script of a scenario; times are from the start of the load.
+pub fn of(scenario: &str) -> Option<Vec<Step>> {
+    let lead = || Who::Lead("g1".into());
+    let rep = || Who::Replica("g1".into());
+    let same = Who::Same;
+    Some(match scenario {
+        "calm" => vec![],
+        "lead-killed" => vec![
+            last(step(3_000, lead(), Act::Kill, "lead")),
+            step(14_000, same("lead"), Act::Start, "lead"),
+        ],
+        "lead-paused" => vec![
+            last(step(3_000, lead(), Act::Pause, "lead")),
+            step(13_000, same("lead"), Act::Go, "lead"),
+        ],
+        "lead-stalled" => vec![
+            last(step(3_000, lead(), wish(|w| w.stall = Some(true)), "lead")),
+            step(16_000, same("lead"), wish(|w| w.stall = Some(false)), "lead"),
+        ],
+        "lead-leaves" => vec![
+            last(step(3_000, lead(), Act::Leave, "lead")),
+            step(12_000, same("lead"), Act::Kill, "lead"),
+            step(14_000, same("lead"), Act::Start, "lead"),
+        ],
+        "lost-answers" => vec![
+            step(2_000, lead(), wish(|w| w.lose_answers = Some(20)), "a"),
+            step(5_000, lead(), wish(|w| w.lose_answers = Some(20)), "b"),
+        ],
+        "replica-stalled" => vec![
+            step(3_000, rep(), wish(|w| w.stall = Some(true)), "r"),
+            step(12_000, same("r"), wish(|w| w.stall = Some(false)), "r"),
+        ],
+        "replica-dark" => vec![
+            step(3_000, rep(), wish(|w| w.dark = Some(true)), "r"),
+            step(12_000, same("r"), wish(|w| w.dark = Some(false)), "r"),
+        ],
+        "replica-killed" => {
+            vec![step(3_000, rep(), Act::Kill, "r"), step(9_000, same("r"), Act::Start, "r")]
+        }
+        "resets" => (1..6)
+            .map(|i| step(i * 2_000, if i % 2 == 0 { lead() } else { rep() }, wish(|w| w.reset = Some(true)), "x"))
+            .collect(),
+        "all-bad" => ["g1s1", "g1s2", "g1s3"]
+            .iter()
+            .map(|s| step(3_000, name(s), wish(|w| w.reset = Some(true)), "x"))
+            .collect(),
+        "lagging" => vec![
+            step(3_000, rep(), wish(|w| w.lag_ms = Some(1_200)), "r"),
+            step(12_000, same("r"), wish(|w| w.lag_ms = Some(0)), "r"),
+        ],
+        "lag-and-kill" => vec![
+            step(3_000, rep(), wish(|w| w.lag_ms = Some(700)), "r"),
+            last(step(6_000, lead(), Act::Kill, "lead")),
+            step(14_000, same("r"), wish(|w| w.lag_ms = Some(0)), "r"),
+            step(16_000, same("lead"), Act::Start, "lead"),
+        ],
+        "node-killed" => {
+            vec![last(step(3_000, name("n2"), Act::Kill, "n")), step(9_000, name("n2"), Act::Start, "n")]
+        }
+        "node-paused" => {
+            vec![step(3_000, name("n2"), Act::Pause, "n"), step(10_000, name("n2"), Act::Go, "n")]
+        }
+        "nodes-restarted" => ["n1", "n2", "n3"]
+            .iter()
+            .enumerate()
+            .flat_map(|(i, n)| {
+                let at = 2_000 + i as u64 * 5_000;
+                [step(at, name(n), Act::Stop, "n"), step(at + 1_500, name(n), Act::Start, "n")]
+            })
+            .collect(),
+        "head-killed" => vec![
+            last(step(3_000, Who::Head, Act::Kill, "k")),
+            step(4_000, name("n1"), Act::Pushes, "p"),
+            step(9_000, same("k"), Act::Start, "k"),
+            step(13_000, name("n1"), Act::Pushes, "p"),
+        ],
+        "tail-killed" => vec![
+            last(step(3_000, Who::Tail, Act::Kill, "k")),
+            step(3_500, name("n1"), Act::Pushes, "p"),
+            step(9_000, same("k"), Act::Start, "k"),
+            step(13_000, name("n1"), Act::Pushes, "p"),
+        ],
+        "keeper-paused" => vec![
+            step(3_000, Who::Tail, Act::Pause, "k"),
+            step(6_000, name("n1"), Act::Pushes, "p"),
+            step(9_000, same("k"), Act::Go, "k"),
+        ],
+        "pushes" => (1..5).map(|i| step(i * 2_500, name("n1"), Act::Pushes, "p")).collect(),
+        "mixed" => vec![
+            step(1_500, name("n1"), Act::Pushes, "p"),
+            step(2_000, rep(), wish(|w| w.stall = Some(true)), "r"),
+            step(4_000, lead(), wish(|w| w.lose_answers = Some(10)), "a"),
+            step(5_000, Who::Tail, Act::Kill, "k"),
+            step(8_000, same("r"), wish(|w| w.stall = Some(false)), "r"),
+            last(step(9_000, lead(), Act::Kill, "lead")),
+            step(10_000, name("n3"), Act::Stop, "n"),
+            step(12_000, name("n3"), Act::Start, "n"),
+            step(14_000, same("k"), Act::Start, "k"),
+            step(17_000, same("lead"), Act::Start, "lead"),
+        ],
+        _ => return None,
+    })
+}
+
+/// A blueprint text that differs from any other by its own mark.
+pub fn marked(text: &str, mark: u64) -> String {
+    format!("{text}\n[judges]\nlate_weight = {}\n", 10 + mark % 30)
+}
+
+/// A blueprint that must be declined.
+pub fn broken() -> String {
+    json!({"placements": [{"name": "p", "select": {"host": ["10.0.0.1"]}}], "rules": [{"name": "r", "class": "order",
+        "placement": "nowhere"}]})
+    .to_string()
+}
--- a/crates/qh-lab/src/stand/faults.rs
+++ b/crates/qh-lab/src/stand/faults.rs
@@ -6,7 +6,7 @@
 use tokio::sync::Notify;
 
 /// The wish as JSON: every field that is given is set.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Wish {
     /// Storage stalls: statements hang, STATUS and the socket look well.
--- a/crates/qhlab/src/args.rs
+++ b/crates/qhlab/src/args.rs
@@ -4,10 +4,12 @@
 const HELP: &str = "qhlab: the lab of quincehatch
 
 usage: qhlab fleet up [--shape thin|small|scripwell|lensbridge] [--dir DIR] [--port N]
+       qhlab try [--scenario NAME|all] [--shape ...] [--seconds N] [--callers N] [--pause-ms N] [--seed N]
        qhlab stand --name NAME --addr IP:PORT [--label K=V] [--peer IP:PORT] [--desk IP:PORT] [--data DIR]
        qhlab platform --addr IP:PORT --door DISTRICT=IP:PORT ...
 
   fleet up    starts a whole fleet on loopback, pushes a blueprint, and runs until Enter or a signal
+  try         starts a fleet, runs callers and a script of faults, and checks that no must-never happened
   stand       one stand-in database server
   platform    the platform's stand-in
 
@@ -15,6 +17,7 @@
   -V, --version  the version";
 
 pub enum Cmd {
+    Try(Up, qh_lab::scenario::Opts),
     Stand(stand::Args),
     Platform { addr: String, doors: Vec<(String, String)> },
     Up(Up),
@@ -49,8 +52,16 @@
     }
 }
 
+fn up(b: &Bag) -> Result<Up, String> {
+    Ok(Up {
+        shape: b.one("shape").unwrap_or_else(|| "small".into()),
+        dir: b.one("dir").unwrap_or_else(|| "run/fleet".into()),
+        port: b.num("port", 21_000)?,
+    })
+}
+
 const FLAGS: &[&str] =
-    &["shape", "dir", "port", "name", "addr", "label", "peer", "desk", "data", "shown", "door"];
+    &["shape", "dir", "port", "name", "addr", "label", "peer", "desk", "data", "shown", "door", "scenario", "seconds", "callers", "pause-ms", "seed"];
 
 pub fn read() -> Result<Option<Cmd>, String> {
     use lexopt::prelude::*;
@@ -92,11 +103,17 @@
                 doors.iter().filter_map(|d| d.split_once('=')).map(|(d, a)| (d.into(), a.into())).collect();
             Ok(Some(Cmd::Platform { addr: b.need("addr")?, doors }))
         }
-        ["fleet", "up"] => Ok(Some(Cmd::Up(Up {
-            shape: b.one("shape").unwrap_or_else(|| "small".into()),
-            dir: b.one("dir").unwrap_or_else(|| "run/fleet".into()),
-            port: b.num("port", 21_000)?,
-        }))),
+        ["fleet", "up"] => Ok(Some(Cmd::Up(up(&b)?))),
+        ["try"] => {
+            let o = qh_lab::scenario::Opts {
+                scenario: b.one("scenario").unwrap_or_else(|| "mixed".into()),
+                seconds: b.num("seconds", 24)?,
+                callers: b.num("callers", 60)?,
+                pause_ms: b.num("pause-ms", 300)?,
+                seed: b.num("seed", 1)?,
+            };
+            Ok(Some(Cmd::Try(up(&b)?, o)))
+        }
         [] => Err("a command is missing".into()),
         w => Err(format!("`{}` is not a command", w.join(" "))),
     }
--- a/crates/qhlab/src/main.rs
+++ b/crates/qhlab/src/main.rs
@@ -28,6 +28,7 @@
                 platform::run(&addr, doors).await.map_err(|e| e.to_string())
             }
             args::Cmd::Up(u) => up::run(u).await,
+            args::Cmd::Try(u, o) => up::tried(u, o).await,
         }
     });
     if let Err(e) = done {
--- a/crates/qhlab/src/up.rs
+++ b/crates/qhlab/src/up.rs
@@ -71,3 +71,23 @@
     drop(r);
     Ok(())
 }
+
+/// Runs one scenario or all, each on a fleet of its own; any breach fails.
+pub async fn tried(u: Up, o: qh_lab::scenario::Opts) -> Result<(), String> {
+    use qh_lab::{scenario, script};
+    let names: Vec<&str> = if o.scenario == "all" { script::ALL.to_vec() } else { vec![o.scenario.as_str()] };
+    let mut bad = 0;
+    for n in names {
+        let steps = script::of(n).ok_or_else(|| format!("there is no scenario {n:?}; there are {}", script::ALL.join(" ")))?;
+        let mut r = start(&u).await?;
+        let one = scenario::Opts { scenario: n.into(), ..o.clone() };
+        let out = scenario::run(&mut r, steps, &one).await;
+        println!("{}", out.summary);
+        for b in out.breaches.iter().take(20) {
+            println!("  BREACH {b}");
+        }
+        bad += out.breaches.len();
+        drop(r);
+    }
+    if bad == 0 { Ok(()) } else { Err(format!("{bad} breaches")) }
+}
