--- a/crates/qh-control/src/promotion.rs
+++ b/crates/qh-control/src/promotion.rs
@@ -9,6 +9,8 @@
 /// A planned hand-over waits so long for open transactions and for replicas to catch up.
 pub const DRAIN: Ms = 1_500;
 
+/// The old primary counts towards a majority only after so long without one.
+const OTHERS_FIRST: Ms = 1_000;
 /// A chosen server is asked this long to take the lead.
 const PROMOTE_FOR: Ms = 1_500;
 
@@ -193,11 +195,18 @@
     }
 
     /// The highest log among a fenced majority holds every acknowledged commit, as each of those is on two
-    /// of three (§5.5). A planned hand-over leaves the old primary out of the count.
+    /// of three (§5.5). The old primary is chosen only if a majority cannot be had without it: it broke down,
+    /// or it is to be relieved, and its log may well be the longest.
     fn choose(&mut self, now: Ms) {
-        let out = self.plan.old.as_ref().filter(|_| self.plan.planned);
-        let may: Vec<(&Name, &Position)> = self.fenced.iter().filter(|(n, _)| Some(*n) != out).collect();
-        if may.len() * 2 <= self.plan.copies {
+        let majority = |n: usize| n * 2 > self.plan.copies;
+        let others: Vec<_> = self.fenced.iter().filter(|(n, _)| Some(*n) != self.plan.old.as_ref()).collect();
+        let waited = now >= self.since + OTHERS_FIRST && !self.plan.planned;
+        let may: Vec<(&Name, &Position)> = match (majority(others.len()), waited) {
+            (true, _) => others,
+            (false, true) => self.fenced.iter().collect(),
+            (false, false) => return,
+        };
+        if !majority(may.len()) {
             return;
         }
         let top = may.iter().map(|(_, p)| **p).max().unwrap_or_default();
--- a/crates/qh-data/src/board.rs
+++ b/crates/qh-data/src/board.rs
@@ -76,6 +76,9 @@
         for (g, l) in &p.leads {
             if cur.leads.get(g) != Some(l) {
                 self.seen.lock().unwrap().remove(g);
+                if let Some(r) = l.server.as_ref().and_then(|s| self.row(s)) {
+                    r.health.lock().unwrap().named(now());
+                }
             }
         }
         *cur = Arc::new(p);
--- a/crates/qh-data/src/judge.rs
+++ b/crates/qh-data/src/judge.rs
@@ -40,6 +40,7 @@
     overdue_at: Ms,
     long: bool,
     told: bool,
+    stalled: bool,
 }
 
 /// Watches replies owed by one server: the only layer that sees a stall in storage (§4.5).
@@ -60,7 +61,7 @@
 impl Overdue {
     pub fn sent(&mut self, now: Ms, id: u64, timeout: Ms, query_timeout: Ms, long: bool) {
         let o =
-            Owed { sent: now, late_at: now + timeout, overdue_at: now + query_timeout, long, told: false };
+            Owed { sent: now, late_at: now + timeout, overdue_at: now + query_timeout, long, told: false, stalled: false };
         self.owed.insert(id, o);
     }
     /// Any answer, late or in time, is a sign of life on that link.
@@ -84,18 +85,19 @@
             self.owed.remove(&id);
             out.push(Found::Overdue);
         }
-        // Every link that owes is silent: nothing was answered since the oldest late visit was sent, and more
-        // than one link owes; a lone link must be silent for twice its time (§4.5).
+        // Every link that owes is silent: nothing was answered since the late visit was sent, or for half its
+        // time by now, and more than one link owes; a lone link must never have had an answer beside it and be
+        // silent for twice its time (§4.5).
         let answered = self.last_answer;
         let owing = self.owed.len();
-        let late = |o: &&mut Owed| !o.long && !o.told && now >= o.late_at;
-        for o in self.owed.values_mut().filter(late) {
-            let silent = answered <= o.sent;
-            let twice = now >= o.late_at + (o.late_at - o.sent);
-            if silent && (owing > 1 || twice) {
-                o.told = true;
+        for o in self.owed.values_mut().filter(|o| !o.long && now >= o.late_at) {
+            let time = o.late_at - o.sent;
+            let silent = answered <= o.sent || (owing > 1 && now >= answered + time / 2);
+            let twice = now >= o.late_at + time;
+            if silent && !o.stalled && (owing > 1 || twice) {
+                o.stalled = true;
                 out.push(Found::Stall);
-            } else if !silent {
+            } else if !silent && !o.told {
                 o.told = true;
                 out.push(Found::Late);
             }
@@ -129,6 +131,19 @@
         assert_eq!(j.tick(1_010), vec![Found::Stall]);
     }
 
+    #[test]
+    fn a_stall_that_began_after_other_answers_is_still_seen() {
+        let mut j = Overdue::default();
+        for id in 1..=4 {
+            j.sent(0, id, 1_000, 30_000, false);
+        }
+        j.answered(600, 4);
+        assert_eq!(j.tick(1_000), vec![Found::Late; 3]);
+        assert_eq!(j.tick(1_099), vec![]);
+        assert_eq!(j.tick(1_100), vec![Found::Stall; 3]);
+        assert_eq!(j.tick(1_200), vec![]);
+    }
+
     #[test]
     fn a_lone_link_has_twice_its_time() {
         let mut j = Overdue::default();
--- a/crates/qh-data/src/probe.rs
+++ b/crates/qh-data/src/probe.rs
@@ -5,7 +5,7 @@
 use crate::server::{Reply, call};
 use crate::verdict::Verdict;
 use qh_core::http::{Call, Wire};
-use qh_core::{Ms, Role, now};
+use qh_core::{Ms, Role, State, now};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -83,7 +83,8 @@
     let lead = n.board.lead(&group);
     let leads =
         lead.as_ref().is_some_and(|l| l.server.as_ref() == Some(&row.name) && l.fence == st.stamp.fence);
-    if leads && st.stamp.role == Role::Primary {
+    // A primary that is still starting may not show all that its forerunner acknowledged (§3.2).
+    if leads && st.stamp.role == Role::Primary && st.beat.state != State::Starting {
         n.board.seen(&group, |s| s.note(asked, st.stamp.position));
     }
     let fresh = n.board.seen(&group, |s| s.needed(now(), 1_500)).is_some_and(|p| st.stamp.position >= p);
--- a/crates/qh-data/src/verdict.rs
+++ b/crates/qh-data/src/verdict.rs
@@ -63,6 +63,16 @@
         self.evidence.clear();
     }
 
+    /// The server was named to lead: orders go there whatever is held against it, and what was is no ground
+    /// for the next change of hands (§5.5).
+    pub fn named(&mut self, now: Ms) {
+        self.evidence.clear();
+        self.trying = None;
+        if self.verdict != Verdict::InRotation {
+            self.turn(now, Verdict::InRotation, "it was named to lead".into());
+        }
+    }
+
     /// Weighs one more piece of evidence.
     pub fn weigh(&mut self, now: Ms, j: &Judges, sign: Sign) {
         let weight = match sign {
--- a/crates/qh-lab/src/db.rs
+++ b/crates/qh-lab/src/db.rs
@@ -66,6 +66,8 @@
     tries: BTreeMap<Name, Outcome>,
     pub(crate) matched: BTreeMap<Name, u64>,
     pub lines: Vec<Line>,
+    /// A primary's log when it took the lead or came back: reads wait until that much is visible (§3.2).
+    whole_at: u64,
 }
 
 /// A replica's wish, and what its primary gives.
@@ -99,6 +101,7 @@
                 Line::Fence(f, r) => (d.fence, d.role) = (f, r),
             }
         }
+        d.whole_at = d.log.len() as u64;
         d
     }
     pub fn end(&self) -> Position {
@@ -137,9 +140,13 @@
         self.role = Role::Primary;
         self.matched.clear();
         self.lines.push(Line::Fence(f, self.role));
-        self.push(Kind::Start);
+        self.whole_at = self.push(Kind::Start);
         true
     }
+    /// May this primary answer reads? Before, it could miss what its forerunner acknowledged.
+    pub fn whole(&self) -> bool {
+        self.role == Role::Replica || self.commit >= self.whole_at
+    }
     pub fn leads(&self, f: Fence) -> bool {
         self.role == Role::Primary && self.fence == f
     }
--- a/crates/qh-lab/src/db_repl.rs
+++ b/crates/qh-lab/src/db_repl.rs
@@ -77,6 +77,21 @@
         }
     }
 
+    #[test]
+    fn a_primary_that_comes_back_answers_no_read_before_all_is_visible() {
+        let (mut a, mut b) = (Db::new("a"), Db::new("b"));
+        a.promote(1);
+        sync(&mut a, &mut b);
+        a.add_commit("t1", 7, vec![Write::Add("x".into(), 1)], Value::Null);
+        sync(&mut a, &mut b);
+        assert!(a.whole());
+        let mut a = Db::replay("a", std::mem::take(&mut a.lines).into_iter());
+        assert!(!a.whole() && a.kv.is_empty());
+        sync(&mut a, &mut b);
+        assert!(a.whole());
+        assert_eq!(a.kv.get("x"), Some(&Value::from(1)));
+    }
+
     #[test]
     fn a_commit_counts_only_on_two_and_an_old_primary_is_cut_back() {
         let (mut a, mut b, mut c) = (Db::new("a"), Db::new("b"), Db::new("c"));
--- a/crates/qh-lab/src/lib.rs
+++ b/crates/qh-lab/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod platform;
 pub mod scenario;
 pub mod script;
+pub mod sim;
 pub mod stand;
 pub mod stmt;
--- /dev/null
+++ b/crates/qh-lab/src/sim/mod.rs
@@ -0,0 +1,13 @@
+//! The seeded simulator (§9.1): virtual time, one thread, the same protocol code as the daemons run. A seed
+//! replays exactly.
+pub mod client;
+pub mod facts;
+pub mod faults;
+pub mod keeper;
+pub mod node;
+pub mod node_duty;
+pub mod node_visit;
+pub mod server;
+pub mod world;
+
+pub use world::{Report, World, run};
--- /dev/null
+++ b/crates/qh-lab/src/sim/server.rs
@@ -0,0 +1,301 @@
+//! A database server in the simulator: the stand-in's own [`Db`] behind the contract's calls (§3).
+use super::world::{Msg, Pid, World};
+use crate::db::{Db, Line, Outcome, Pull, Write};
+use qh_core::{Beat, Fence, Labels, Ms, Name, Stamp, State};
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+
+#[derive(Clone, Debug)]
+pub enum SrvCall {
+    Order { key: Name, sum: u64, fence: Fence, list: String },
+    Read { list: String },
+    Status,
+    Fence(Fence),
+    Promote(Fence),
+    Outcome { key: Name, seal: bool, fence: Fence },
+}
+
+#[derive(Clone, Debug)]
+pub struct SrvRep {
+    pub stamp: Stamp,
+    pub rows: Option<Value>,
+    pub error: Option<&'static str>,
+    pub outcome: Option<&'static str>,
+    pub beat: Option<Beat>,
+}
+
+struct Wait {
+    n: u64,
+    fence: Fence,
+    to: Pid,
+    rid: u64,
+    key: Name,
+    sum: u64,
+    outcome: bool,
+    until: Ms,
+}
+
+pub struct ServerProc {
+    pub db: Db,
+    disk: Vec<Line>,
+    pub labels: Labels,
+    pub peers: Vec<Name>,
+    waits: Vec<Wait>,
+    at: usize,
+    asked: Ms,
+    answered: bool,
+    seq: u64,
+    boot: u64,
+    next_beat: Ms,
+    pub stalled_until: Ms,
+}
+
+impl ServerProc {
+    pub fn new(name: &str, labels: Labels, peers: Vec<Name>) -> Self {
+        Self {
+            db: Db::new(name),
+            disk: vec![],
+            labels,
+            peers,
+            waits: vec![],
+            at: 0,
+            asked: 0,
+            answered: false,
+            seq: 0,
+            boot: 1,
+            next_beat: 0,
+            stalled_until: 0,
+        }
+    }
+    pub fn restart(&mut self, _now: Ms) {
+        let db = Db::replay(&self.db.name, self.disk.iter().cloned());
+        let boot = self.boot + 1;
+        let disk = std::mem::take(&mut self.disk);
+        *self = Self { db, disk, boot, ..Self::new("", self.labels.clone(), self.peers.clone()) };
+    }
+    fn sync(&mut self) {
+        self.disk.append(&mut self.db.lines);
+    }
+    fn stamp(&self) -> Stamp {
+        let d = &self.db;
+        Stamp { server: d.name.clone(), fence: d.fence, position: d.position(), role: d.role }
+    }
+    fn beat(&mut self) -> Beat {
+        self.seq += 1;
+        let d = &self.db;
+        Beat {
+            server: d.name.clone(),
+            boot: self.boot,
+            seq: self.seq,
+            addr: d.name.clone(),
+            labels: self.labels.clone(),
+            role: d.role,
+            state: if d.whole() { State::Up } else { State::Starting },
+            fence: d.fence,
+            position: d.position(),
+            log_end: d.end(),
+        }
+    }
+    fn rep(&self) -> SrvRep {
+        SrvRep { stamp: self.stamp(), rows: None, error: None, outcome: None, beat: None }
+    }
+    fn no(&self, e: &'static str) -> SrvRep {
+        SrvRep { error: Some(e), ..self.rep() }
+    }
+    fn leads(&self, f: Fence) -> Result<(), SrvRep> {
+        if self.db.leads(f) { Ok(()) } else { Err(self.no(if f < self.db.fence { "fence-low" } else { "not-primary" })) }
+    }
+
+    pub fn take(&mut self, w: &mut World, me: Pid, now: Ms, from: Pid, m: Msg) {
+        match m {
+            Msg::Call(rid, c) => {
+                // A stall in storage: STATUS and fencing answer, statements do not until it is over.
+                let storage = matches!(c, SrvCall::Order { .. } | SrvCall::Read { .. } | SrvCall::Outcome { .. });
+                if storage && w.now < self.stalled_until {
+                    let at = self.stalled_until;
+                    return w.at(at, super::world::Ev::Deliver { from, to: me, m: Msg::Call(rid, c) });
+                }
+                if let Some(r) = self.call(w, now, from, rid, c) {
+                    self.sync();
+                    w.send(me, from, Msg::Reply(rid, r));
+                }
+                self.sync();
+            }
+            Msg::Pull(p) => {
+                let got = self.db.pull(&p, 256);
+                w.send(me, from, Msg::Pulled(got));
+                self.settle(w, me, now);
+            }
+            Msg::Pulled(p) => {
+                self.answered = true;
+                let took = p.is_some_and(|p| self.db.take(p));
+                self.sync();
+                if took { self.asked = 0 } else { self.at += 1 }
+            }
+            _ => {}
+        }
+    }
+
+    fn call(&mut self, w: &World, now: Ms, from: Pid, rid: u64, c: SrvCall) -> Option<SrvRep> {
+        Some(match c {
+            SrvCall::Status => {
+                let beat = self.beat();
+                SrvRep { beat: Some(beat), ..self.rep() }
+            }
+            SrvCall::Read { .. } if !self.db.whole() => self.no("starting"),
+            SrvCall::Read { list } => {
+                let rows = self.db.kv.get(&list).cloned().unwrap_or(json!([]));
+                SrvRep { rows: Some(rows), ..self.rep() }
+            }
+            SrvCall::Fence(f) => {
+                if !self.db.set_fence(f) {
+                    return Some(self.no("fence-low"));
+                }
+                let beat = self.beat();
+                SrvRep { beat: Some(beat), ..self.rep() }
+            }
+            SrvCall::Promote(f) => {
+                if self.db.promote(f) { self.rep() } else { self.no("fence-low") }
+            }
+            SrvCall::Order { key, sum, fence, list } => {
+                if let Err(r) = self.leads(fence) {
+                    return Some(r);
+                }
+                let writes = vec![Write::Append(list, json!(key))];
+                let n = match self.db.outcome(&key) {
+                    Outcome::NotKept => self.db.add_commit(&key, sum, writes, json!(["ok"])),
+                    Outcome::Running(n) => n,
+                    o => return Some(self.told(sum, o)),
+                };
+                if w.has_bug("early-ack") {
+                    return Some(SrvRep { rows: Some(json!(["ok"])), ..self.rep() });
+                }
+                let until = now + 8_000;
+                self.waits.push(Wait { n, fence, to: from, rid, key, sum, outcome: false, until });
+                return None;
+            }
+            SrvCall::Outcome { key, seal, fence } => {
+                if let Err(r) = self.leads(fence) {
+                    return Some(r);
+                }
+                match self.db.outcome(&key) {
+                    Outcome::NotKept if seal && w.has_bug("no-seal") => {
+                        SrvRep { outcome: Some("sealed"), rows: Some(json!([])), ..self.rep() }
+                    }
+                    Outcome::NotKept if seal => {
+                        let n = self.db.add_seal(&key);
+                        let until = now + 8_000;
+                        self.waits.push(Wait { n, fence, to: from, rid, key, sum: 0, outcome: true, until });
+                        return None;
+                    }
+                    o => self.outcome(o),
+                }
+            }
+        })
+    }
+    fn outcome(&self, o: Outcome) -> SrvRep {
+        let (word, rows) = match o {
+            Outcome::Kept { rows, .. } => ("kept", rows),
+            Outcome::Sealed => ("sealed", json!([])),
+            Outcome::Running(_) => ("running", json!([])),
+            Outcome::NotKept => ("not-kept", json!([])),
+        };
+        SrvRep { outcome: Some(word), rows: Some(rows), ..self.rep() }
+    }
+    fn told(&self, sum: u64, o: Outcome) -> SrvRep {
+        match o {
+            Outcome::Kept { sum: had, .. } if had != sum => self.no("try-reused"),
+            Outcome::Kept { rows, .. } => SrvRep { rows: Some(rows), ..self.rep() },
+            Outcome::Sealed => self.no("try-sealed"),
+            _ => self.no("in-doubt"),
+        }
+    }
+
+    /// Answers those whose record is on a second server, or who will never know here.
+    fn settle(&mut self, w: &mut World, me: Pid, now: Ms) {
+        for x in std::mem::take(&mut self.waits) {
+            let still = self.db.leads(x.fence) && self.db.still(x.n, x.fence);
+            let done = self.db.commit >= x.n && still;
+            if !done && still && now < x.until {
+                self.waits.push(x);
+                continue;
+            }
+            let o = self.db.outcome(&x.key);
+            let r = match (done, x.outcome) {
+                (true, true) => self.outcome(o),
+                (true, false) => self.told(x.sum, o),
+                (false, _) => self.no("in-doubt"),
+            };
+            w.send(me, x.to, Msg::Reply(x.rid, r));
+        }
+    }
+
+    pub fn tick(&mut self, w: &mut World, me: Pid, now: Ms) {
+        self.settle(w, me, now);
+        if self.db.role == qh_core::Role::Replica && !self.peers.is_empty() && (now >= self.asked + 60 || self.answered) {
+            if !self.answered && self.asked != 0 {
+                self.at += 1;
+            }
+            self.answered = false;
+            self.asked = now;
+            let p = Pull { server: self.db.name.clone(), fence: self.db.fence, have: self.db.end() };
+            let to = self.peers[self.at % self.peers.len()].clone();
+            w.send_name(me, &to, Msg::Pull(p));
+        }
+        if now >= self.next_beat {
+            self.next_beat = now + 500;
+            let b = self.beat();
+            let nodes = w.client.nodes.clone();
+            for _ in 0..2 {
+                if let Some(n) = w.rng.pick(&nodes).copied() {
+                    w.send(me, n, Msg::Beat(b.clone()));
+                }
+            }
+        }
+    }
+}
+
+/// The platform: promotions under a rising fence, one server a fence.
+#[derive(Default)]
+pub struct Platform {
+    fences: BTreeMap<Name, (u64, Name, Name)>,
+    open: BTreeMap<u64, (Pid, u64)>,
+    rid: u64,
+}
+
+impl Platform {
+    pub fn take(&mut self, w: &mut World, me: Pid, from: Pid, m: Msg) {
+        match m {
+            Msg::Promote { rid, group, server, fence, node } => {
+                let had = self.fences.get(&group).cloned().unwrap_or_default();
+                let new = (fence, node, server.clone());
+                if fence < had.0 || (fence == had.0 && had != new) {
+                    let e = SrvRep {
+                        stamp: Stamp::default(),
+                        rows: None,
+                        error: Some("fence-low"),
+                        outcome: None,
+                        beat: None,
+                    };
+                    return w.send(me, from, Msg::Reply(rid, e));
+                }
+                self.fences.insert(group, new);
+                self.rid += 1;
+                self.open.insert(self.rid, (from, rid));
+                let mine = self.rid;
+                w.send_name(me, &server, Msg::Call(mine, SrvCall::Promote(fence)));
+            }
+            Msg::Reply(r, rep) => {
+                if let Some((to, rid)) = self.open.remove(&r) {
+                    w.send(me, to, Msg::Reply(rid, rep));
+                }
+            }
+            Msg::Broke(r) => {
+                if let Some((to, rid)) = self.open.remove(&r) {
+                    w.send(me, to, Msg::Broke(rid));
+                }
+            }
+            _ => {}
+        }
+    }
+}
--- a/crates/qh-lab/src/stand/calls.rs
+++ b/crates/qh-lab/src/stand/calls.rs
@@ -117,6 +117,9 @@
     if order && let Err(v) = leads(s, num(b, "fence")) {
         return Ok(v);
     }
+    if !order && !s.with(|d| d.whole()) {
+        return Ok(s.bad("starting", "not all that was kept is visible yet"));
+    }
     s.faults.storage().await;
     let (text, params) = (txt(b, "text"), b.get("params").cloned().unwrap_or(Value::Null));
     s.journal.lock().unwrap().push(Ran {
--- a/crates/qh-lab/src/stand/mod.rs
+++ b/crates/qh-lab/src/stand/mod.rs
@@ -109,10 +109,11 @@
         Stamp { server: db.name.clone(), fence: db.fence, position: db.position(), role: db.role }
     }
     pub fn beat(&self) -> Beat {
-        let (role, fence, position, log_end) = {
+        let (role, fence, position, log_end, whole) = {
             let db = self.db.lock().unwrap();
-            (db.role, db.fence, db.position(), db.end())
+            (db.role, db.fence, db.position(), db.end(), db.whole())
         };
+        let state = self.state.lock().unwrap().0;
         let shown = self.args.shown.as_ref().unwrap_or(&self.args.addr);
         Beat {
             server: self.args.name.as_str().into(),
@@ -121,7 +122,7 @@
             addr: shown.as_str().into(),
             labels: self.args.labels.clone(),
             role,
-            state: self.state.lock().unwrap().0,
+            state: if state == State::Up && !whole { State::Starting } else { state },
             fence,
             position,
             log_end,
--- a/crates/qh-state/src/chain.rs
+++ b/crates/qh-state/src/chain.rs
@@ -127,9 +127,29 @@
         self.moves(moves);
     }
 
+    /// A newer view that was accepted here but never agreed keeps the lease of the present one from being
+    /// renewed; if its proposer does not see it through, whoever holds it does (§5.3).
+    fn finish_half(&mut self) -> bool {
+        let half = self.acc.accepted.as_ref().map(|(_, v)| v.clone()).filter(|v| v.edition > self.view.edition);
+        let Some(want) = half else {
+            self.half_since = None;
+            return false;
+        };
+        let since = *self.half_since.get_or_insert(self.now);
+        let rank = want.machines.iter().position(|m| m.name == self.me).unwrap_or(0) as u64;
+        let wait = PROPOSE_GAP * (2 + rank);
+        if self.now >= since + wait && self.now >= self.proposed + wait {
+            self.propose(want);
+        }
+        true
+    }
+
     /// A silent member is left out by the first member that is not; an outsider asks to come in (§5.3).
     pub(crate) fn mend(&mut self) {
         let now = self.now;
+        if self.finish_half() {
+            return;
+        }
         if !self.view.has(&self.me) {
             let may = self.view.machines.iter().any(|m| m.name == self.me);
             if may
--- a/crates/qh-state/src/keeper.rs
+++ b/crates/qh-state/src/keeper.rs
@@ -69,6 +69,7 @@
     pub(crate) view_since: Ms,
     pub(crate) proposed: Ms,
     pub(crate) fetched: Ms,
+    pub(crate) half_since: Option<Ms>,
     next_beat: Ms,
     pub(crate) out: Vec<Out>,
 }
@@ -101,6 +102,7 @@
             view_since: now,
             proposed: 0,
             fetched: 0,
+            half_since: None,
             next_beat: now,
             out: Vec::new(),
         }
@@ -239,10 +241,9 @@
             if let Some(p) = self.view.beside(&self.me, -1).cloned() {
                 let need = PeerMsg::Need { edition: self.view.edition, n: self.store.n };
                 self.send(&p, need);
+                // Said again each time: an acknowledgement may be lost, or have crossed a change of view.
                 let ack = self.ack();
-                if self.is_tail() && self.serving() {
-                    self.send(&p, ack);
-                }
+                self.send(&p, ack);
             }
         }
         self.mend();
--- a/crates/qhlab/src/args.rs
+++ b/crates/qhlab/src/args.rs
@@ -5,11 +5,13 @@
 
 usage: qhlab fleet up [--shape thin|small|scripwell|lensbridge] [--dir DIR] [--port N]
        qhlab try [--scenario NAME|all] [--shape ...] [--seconds N] [--callers N] [--pause-ms N] [--seed N]
+       qhlab sim [--seeds N] [--from SEED] [--keepers N] [--nodes N] [--bug NAME]
        qhlab stand --name NAME --addr IP:PORT [--label K=V] [--peer IP:PORT] [--desk IP:PORT] [--data DIR]
        qhlab platform --addr IP:PORT --door DISTRICT=IP:PORT ...
 
   fleet up    starts a whole fleet on loopback, pushes a blueprint, and runs until Enter or a signal
   try         starts a fleet, runs callers and a script of faults, and checks that no must-never happened
+  sim         the seeded simulator; a failing seed replays exactly with --from SEED --seeds 1
   stand       one stand-in database server
   platform    the platform's stand-in
 
@@ -17,6 +19,7 @@
   -V, --version  the version";
 
 pub enum Cmd {
+    Sim(Sim),
     Try(Up, qh_lab::scenario::Opts),
     Stand(stand::Args),
     Platform { addr: String, doors: Vec<(String, String)> },
@@ -30,6 +33,16 @@
     pub port: u16,
 }
 
+/// How to simulate.
+#[derive(Debug, Clone)]
+pub struct Sim {
+    pub seeds: u64,
+    pub from: u64,
+    pub keepers: usize,
+    pub nodes: usize,
+    pub bug: Option<String>,
+}
+
 /// Flags as pairs, and the words that are none.
 pub struct Bag {
     pub words: Vec<String>,
@@ -61,7 +74,7 @@
 }
 
 const FLAGS: &[&str] =
-    &["shape", "dir", "port", "name", "addr", "label", "peer", "desk", "data", "shown", "door", "scenario", "seconds", "callers", "pause-ms", "seed"];
+    &["shape", "dir", "port", "name", "addr", "label", "peer", "desk", "data", "shown", "door", "scenario", "seconds", "callers", "pause-ms", "seed", "seeds", "from", "keepers", "nodes", "bug"];
 
 pub fn read() -> Result<Option<Cmd>, String> {
     use lexopt::prelude::*;
@@ -104,6 +117,13 @@
             Ok(Some(Cmd::Platform { addr: b.need("addr")?, doors }))
         }
         ["fleet", "up"] => Ok(Some(Cmd::Up(up(&b)?))),
+        ["sim"] => Ok(Some(Cmd::Sim(Sim {
+            seeds: b.num("seeds", 20)?,
+            from: b.num("from", 1)?,
+            keepers: b.num("keepers", 3)?,
+            nodes: b.num("nodes", 5)?,
+            bug: b.one("bug"),
+        }))),
         ["try"] => {
             let o = qh_lab::scenario::Opts {
                 scenario: b.one("scenario").unwrap_or_else(|| "mixed".into()),
--- a/crates/qhlab/src/main.rs
+++ b/crates/qhlab/src/main.rs
@@ -1,5 +1,6 @@
 //! qhlab: stand-ins, a whole fleet on one machine, load, faults, checks (§9).
 mod args;
+mod simulate;
 mod up;
 
 use qh_lab::{platform, stand};
@@ -28,6 +29,7 @@
                 platform::run(&addr, doors).await.map_err(|e| e.to_string())
             }
             args::Cmd::Up(u) => up::run(u).await,
+            args::Cmd::Sim(s) => simulate::run(&s),
             args::Cmd::Try(u, o) => up::tried(u, o).await,
         }
     });
--- /dev/null
+++ b/crates/qhlab/src/simulate.rs
@@ -0,0 +1,50 @@
+//! `qhlab sim`: many seeds, side by side (§9.1).
+use crate::args::Sim;
+use qh_lab::sim;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+
+pub fn run(s: &Sim) -> Result<(), String> {
+    let next = Arc::new(AtomicU64::new(s.from));
+    let end = s.from + s.seeds;
+    let all = Arc::new(Mutex::new(Vec::new()));
+    let threads = std::thread::available_parallelism().map_or(2, usize::from).min(8);
+    let tasks: Vec<_> = (0..threads)
+        .map(|_| {
+            let (next, all, s) = (next.clone(), all.clone(), s.clone());
+            std::thread::spawn(move || {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::SeqCst);
+                    if seed >= end {
+                        return;
+                    }
+                    let r = sim::run(seed, s.keepers, s.nodes, s.bug.as_deref(), s.seeds == 1);
+                    all.lock().unwrap().push(r);
+                }
+            })
+        })
+        .collect();
+    let lost = tasks.into_iter().map(std::thread::JoinHandle::join).filter(Result::is_err).count();
+    let mut all = all.lock().unwrap();
+    all.sort_by_key(|r| r.seed);
+    let sum = |f: &dyn Fn(&sim::Report) -> usize| all.iter().map(f).sum::<usize>();
+    for r in all.iter().filter(|r| !r.breaches.is_empty()) {
+        println!("seed {}: {} breaches", r.seed, r.breaches.len());
+        r.breaches.iter().take(8).for_each(|b| println!("  BREACH {b}"));
+    }
+    let worst = all.iter().map(|r| r.back_ms).max().unwrap_or(0);
+    println!(
+        "{} seeds: {} tries, {} kept, {} reads, {} pushes, {} promotions, {} messages, slowest back {} ms, trace {:016x}",
+        all.len(),
+        sum(&|r| r.tries),
+        sum(&|r| r.kept),
+        sum(&|r| r.reads),
+        sum(&|r| r.pushes),
+        sum(&|r| r.promotions),
+        all.iter().map(|r| r.sent).sum::<u64>(),
+        worst,
+        all.iter().fold(0u64, |a, r| a.rotate_left(7) ^ r.trace)
+    );
+    let bad = all.iter().filter(|r| !r.breaches.is_empty()).count();
+    if bad == 0 && lost == 0 { Ok(()) } else { Err(format!("{bad} seeds with breaches, {lost} threads lost")) }
+}
