--- a/crates/qh-control/src/promotion.rs
+++ b/crates/qh-control/src/promotion.rs
@@ -103,6 +103,7 @@
         self.phase = to;
         self.since = now;
         self.asked = 0;
+        self.say(&format!("is {to:?}").to_lowercase());
         self.ask(now);
     }
     fn key(&self, what: &str) -> Name {
--- a/crates/qh-data/src/judge.rs
+++ b/crates/qh-data/src/judge.rs
@@ -60,8 +60,14 @@
 
 impl Overdue {
     pub fn sent(&mut self, now: Ms, id: u64, timeout: Ms, query_timeout: Ms, long: bool) {
-        let o =
-            Owed { sent: now, late_at: now + timeout, overdue_at: now + query_timeout, long, told: false, stalled: false };
+        let o = Owed {
+            sent: now,
+            late_at: now + timeout,
+            overdue_at: now + query_timeout,
+            long,
+            told: false,
+            stalled: false,
+        };
         self.owed.insert(id, o);
     }
     /// Any answer, late or in time, is a sign of life on that link.
--- a/crates/qh-data/src/lookup.rs
+++ b/crates/qh-data/src/lookup.rs
@@ -123,6 +123,7 @@
             }
         }
         let q = call::run(&loan.link().id.clone(), v.text(), &v.body.params);
+        let asked = now();
         match ask(n, loan, q, o, ask_id, till).await {
             Asked::Reply(r, loan) => {
                 loan.give_back();
@@ -137,7 +138,7 @@
                     why = Code::BadReply.bare();
                     continue;
                 };
-                if fresh_enough(n, &c, &r.stamp, rule.fresh_ms) {
+                if fresh_enough(n, &c, &r.stamp, rule.fresh_ms, asked) {
                     v.note(format!("{name} answered"));
                     return Ok(Good { rows: rows.clone(), stamp: Some(r.stamp.clone()) });
                 }
@@ -163,14 +164,17 @@
 }
 
 /// Proof that the rows are no further behind than the rule allows, on this node's clock alone (§4.8).
-fn fresh_enough(n: &Node, c: &Choice, s: &qh_core::Stamp, fresh: Ms) -> bool {
+fn fresh_enough(n: &Node, c: &Choice, s: &qh_core::Stamp, fresh: Ms, asked: Ms) -> bool {
     if !n.board.has_lease() {
         return false;
     }
     let group = c.row.group();
     if c.primary {
         let lead = n.board.lead(&group);
-        return s.role == Role::Primary
+        // Fresh when it was asked; a node that was paused since must not pass it on as fresh now.
+        let late = now() > asked + fresh.saturating_sub(crate::fresh::MARGIN);
+        return !late
+            && s.role == Role::Primary
             && lead.is_some_and(|l| l.fence == s.fence && l.server.as_ref() == Some(&s.server));
     }
     n.board.seen(&group, |seen| seen.needed(now(), fresh)).is_some_and(|p| s.position >= p)
--- a/crates/qh-data/src/order.rs
+++ b/crates/qh-data/src/order.rs
@@ -7,7 +7,7 @@
 use crate::server::{self, Reply, Try, call};
 use crate::shard::Use;
 use crate::visit::{Answer, Good, Visit};
-use qh_core::{Breakdown, Code, Fence, Ms, Name, Role, now};
+use qh_core::{Breakdown, Code, Fence, Ms, Name, Role};
 use serde_json::Value;
 use std::sync::Arc;
 use std::time::Duration;
@@ -147,14 +147,14 @@
             v.ran.server = row.name.clone();
             v.ran.district = row.district();
             v.ran.verdict = "primary".into();
-            if let Some((r, asked)) = ask_outcome(n, &row, key, seal, fence, within).await
+            if let Some(r) = ask_outcome(n, &row, key, seal, fence, within).await
                 && r.stamp.fence == fence
                 && r.stamp.role == Role::Primary
                 && n.board.has_lease()
             {
                 match r.outcome.as_deref() {
+                    // It proves nothing of what else is visible at a primary that just took over (§4.8).
                     Some("kept") => {
-                        n.board.seen(&v.group, |s| s.note(asked, r.stamp.position));
                         return r
                             .good(&row.name)
                             .map(|rows| Good { rows: rows.clone(), stamp: Some(r.stamp.clone()) })
@@ -180,12 +180,11 @@
     seal: bool,
     fence: Fence,
     within: Duration,
-) -> Option<(Reply, Ms)> {
-    let asked = now();
+) -> Option<Reply> {
     let (path, body) = call::outcome(key, seal, fence);
     let addr: Name = row.addr();
     let r = n.once(&addr, path, body, within).await?;
-    Some((r, asked)).filter(|(r, _)| r.error.is_none() && r.stamp.server == row.name)
+    Some(r).filter(|r| r.error.is_none() && r.stamp.server == row.name)
 }
 
 /// An order-side read outside a transaction: at the primary, under the lease, under the lead's fence.
--- /dev/null
+++ b/crates/qh-lab/src/calls.rs
@@ -0,0 +1,146 @@
+//! What a caller does (§9.2): orders in one step or several, asks after them, looks its orders up.
+use crate::history::{End, ReadRow};
+use crate::load::{Caller, ORDER_MS};
+use qh_core::now;
+use serde_json::{Value, json};
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+impl Caller {
+    /// One order, in one step or several; in doubt it is asked after until it is known.
+    pub async fn order(&mut self) {
+        self.n += 1;
+        let key = format!("{}-{}", self.mark(), self.n);
+        let steps = self.rng.below(10);
+        let mut end = if steps < 3 { self.in_steps(&key, 1 + steps).await } else { self.at_once(&key).await };
+        // Nothing kept: now and then the same try is sent again; kept: it is sent twice.
+        if (end == End::Nothing && self.rng.chance(500))
+            || (end == End::Kept && steps >= 3 && self.rng.chance(30))
+        {
+            end = self.at_once_as(&key, steps).await;
+        }
+        for _ in 0..60 {
+            if !matches!(end, End::Unknown | End::Lost) || self.w.stop.load(Ordering::Relaxed) {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            end = self.ask_after(&key).await;
+        }
+    }
+
+    pub async fn ask_after(&mut self, key: &str) -> End {
+        let body = json!({"try": key, "labels": self.labels(), "seal": true, "deadline_ms": ORDER_MS});
+        let asked = now();
+        let got = self.call("/v1/outcome", body, ORDER_MS).await;
+        self.told(key, asked, &got)
+    }
+
+    async fn at_once(&mut self, key: &str) -> End {
+        let text = format!("append {} $1", self.list());
+        let body = json!({"try": key, "text": text, "params": [key, self.mark()], "labels": self.labels(),
+            "deadline_ms": ORDER_MS});
+        let asked = now();
+        let got = self.call("/v1/order", body, ORDER_MS).await;
+        self.told(key, asked, &got)
+    }
+    /// Only a one-step order can be repeated as one: another content under the same try is declined.
+    async fn at_once_as(&mut self, key: &str, steps: u64) -> End {
+        if steps < 3 { self.in_steps(key, 1 + steps).await } else { self.at_once(key).await }
+    }
+
+    async fn in_steps(&mut self, key: &str, steps: u64) -> End {
+        let Some((id, e)) = self.session().await else { return self.told(key, now(), &not_sent()) };
+        let begin = json!({"session": id, "edition": e, "labels": self.labels(), "deadline_ms": ORDER_MS});
+        let got = self.call("/v1/begin", begin, ORDER_MS).await;
+        if Self::end_of(&got) != End::Kept {
+            self.lost_session(&got);
+            return self.told(key, now(), &not_sent());
+        }
+        for i in 0..steps {
+            let text = if i == 0 { format!("append {} $1", self.list()) } else { "add total 1".into() };
+            let run = json!({"session": id, "edition": e, "text": text, "params": [key, self.mark()], "deadline_ms": ORDER_MS});
+            let got = self.call("/v1/run", run, ORDER_MS).await;
+            if Self::end_of(&got) != End::Kept {
+                self.lost_session(&got);
+                return self.told(key, now(), &not_sent());
+            }
+            let pause = self.rng.below(40);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+        }
+        let asked = now();
+        let commit = json!({"session": id, "edition": e, "try": key, "deadline_ms": ORDER_MS});
+        let got = self.call("/v1/commit", commit, ORDER_MS).await;
+        self.lost_session(&got);
+        self.told(key, asked, &got)
+    }
+
+    /// A session that is gone, or whose state is not known after a lost answer, is opened anew.
+    fn lost_session(&mut self, got: &Option<(u16, Value)>) {
+        let code = got.as_ref().and_then(|(_, v)| v["error"]["code"].as_u64());
+        if got.is_none() || matches!(code, Some(1201 | 1202 | 1205)) {
+            self.session = None;
+        }
+    }
+
+    /// A lookup of this caller's orders, by a replica or at the order's side.
+    pub async fn look(&mut self) {
+        let order_side = self.rng.chance(250);
+        let session = if self.rng.chance(300) { self.session().await } else { None };
+        let ms = if order_side { ORDER_MS } else { self.w.lookup_ms };
+        let mut body = json!({"text": format!("get {}", self.list()), "params": [null, self.mark()],
+            "labels": self.labels(), "deadline_ms": ms, "order_side": order_side});
+        let tag = session.is_some() && self.rng.chance(600);
+        if let Some((id, e)) = &session {
+            body["session"] = json!(id);
+            body["edition"] = json!(e);
+            if tag {
+                body["text"] = json!("show tag");
+            }
+        }
+        let asked = now();
+        let got = self.call("/v1/lookup", body, ms).await;
+        let kept = Self::end_of(&got) == End::Kept;
+        self.lost_session(&got);
+        let me = self.mark();
+        let mut h = self.w.book.lock().unwrap();
+        let Some((_, v)) = got.filter(|_| kept) else {
+            h.lookups.1 += 1;
+            return;
+        };
+        h.lookups.0 += 1;
+        let (server, node) = (
+            v["where"]["server"].as_str().unwrap_or_default(),
+            v["where"]["node"].as_str().unwrap_or_default(),
+        );
+        if tag {
+            if v["rows"][0][0] != me {
+                h.spot.push(format!(
+                    "N7 {me} lost a setting it was promised: it read {} on {server} by {node}",
+                    v["rows"]
+                ));
+            }
+            return;
+        }
+        let seen = v["rows"][0][0]
+            .as_array()
+            .into_iter()
+            .flatten()
+            .filter_map(|k| k.as_str().map(str::to_owned))
+            .collect();
+        let (group, list) = (self.group(), self.list());
+        h.reads.push(ReadRow {
+            group,
+            list,
+            order_side,
+            asked,
+            seen,
+            server: server.into(),
+            node: node.into(),
+        });
+    }
+}
+
+/// A try whose commit was never sent.
+fn not_sent() -> Option<(u16, Value)> {
+    Some((0, json!({"end": "nothing"})))
+}
--- a/crates/qh-lab/src/history.rs
+++ b/crates/qh-lab/src/history.rs
@@ -93,7 +93,10 @@
     statements(f, sent, &mut bad);
     blueprints(h, &mut bad);
     if f.late_work > 0 {
-        bad.push(format!("N9 {} pieces of new work reached a server over 7 s after it said it leaves", f.late_work));
+        bad.push(format!(
+            "N9 {} pieces of new work reached a server over 7 s after it said it leaves",
+            f.late_work
+        ));
     }
     back(h, faults, &mut bad);
     bad
@@ -113,7 +116,10 @@
         }
         let doubt = t.ends.iter().any(|e| matches!(e.0, End::Unknown | End::Lost));
         if n > 0 && !kept && !doubt {
-            bad.push(format!("N3 the order {} was kept though every answer said nothing was: {:?}", t.key, t.ends));
+            bad.push(format!(
+                "N3 the order {} was kept though every answer said nothing was: {:?}",
+                t.key, t.ends
+            ));
         }
         if n > 0 && t.sealed {
             bad.push(format!("N3 the sealed order {} was kept", t.key));
@@ -136,7 +142,10 @@
         let missed = known.into_iter().flatten().find(|(at, k)| *at < before && !r.seen.contains(*k));
         if let Some((at, k)) = missed {
             let by = r.asked - at;
-            bad.push(format!("{word} at {} on {} by {} missed {k}, acknowledged {by} ms before", r.asked, r.server, r.node));
+            bad.push(format!(
+                "{word} at {} on {} by {} missed {k}, acknowledged {by} ms before",
+                r.asked, r.server, r.node
+            ));
         }
     }
 }
--- a/crates/qh-lab/src/lib.rs
+++ b/crates/qh-lab/src/lib.rs
@@ -1,4 +1,6 @@
 //! The lab (§9): stand-ins, fault relay, fleet runner, load, history checker, simulator.
+mod aftermath;
+mod calls;
 pub mod db;
 mod db_repl;
 pub mod fleet;
--- a/crates/qh-lab/src/scenario.rs
+++ b/crates/qh-lab/src/scenario.rs
@@ -1,6 +1,7 @@
 //! Runs callers and a script of faults against a real fleet, then asks whether a must-never happened (§9.4).
+use crate::aftermath::{facts, settle};
 use crate::fleet::{Plan, Running, TOKEN};
-use crate::history::{Facts, PushRow, check, gap_after};
+use crate::history::{PushRow, check, gap_after};
 use crate::load::{Caller, World};
 use crate::script::{Act, Step, Who, broken, marked};
 use qh_core::http::{Call, once, post};
@@ -49,7 +50,11 @@
 
 async fn find(p: &Plan, who: &Who, hit: &BTreeMap<&'static str, String>) -> Option<String> {
     let lead = |v: &Value, g: &str| {
-        v["leads"].as_array()?.iter().find(|l| l["group"] == g).and_then(|l| l["server"].as_str().map(str::to_owned))
+        v["leads"]
+            .as_array()?
+            .iter()
+            .find(|l| l["group"] == g)
+            .and_then(|l| l["server"].as_str().map(str::to_owned))
     };
     let member = |v: &Value, tail: bool| {
         let m = v["view"]["members"].as_array()?;
@@ -68,7 +73,7 @@
     }
 }
 
-async fn lab(p: &Plan, server: &str, path: &str, body: &Value) -> Option<Value> {
+pub(crate) async fn lab(p: &Plan, server: &str, path: &str, body: &Value) -> Option<Value> {
     let addr = p.servers.iter().find(|s| s.name == server)?.addr.clone();
     post(&addr, path, body, Duration::from_secs(5)).await.ok().map(|(_, v)| v)
 }
@@ -112,7 +117,12 @@
     }
 }
 
-async fn act(r: &mut Running, w: &Arc<World>, s: &Step, hit: &mut BTreeMap<&'static str, String>) -> Option<String> {
+async fn act(
+    r: &mut Running,
+    w: &Arc<World>,
+    s: &Step,
+    hit: &mut BTreeMap<&'static str, String>,
+) -> Option<String> {
     let name = find(&r.plan, &s.who, hit).await?;
     hit.insert(s.label, name.clone());
     match &s.act {
@@ -156,7 +166,8 @@
         sent: Default::default(),
         calls: Default::default(),
     });
-    let tasks: Vec<_> = (0..o.callers).map(|i| tokio::spawn(Caller::new(w.clone(), i, o.seed).run())).collect();
+    let tasks: Vec<_> =
+        (0..o.callers).map(|i| tokio::spawn(Caller::new(w.clone(), i, o.seed).run())).collect();
     let began = now();
     let mut hit = BTreeMap::new();
     let mut faults = Vec::new();
@@ -181,8 +192,16 @@
     use crate::history::End::{Kept, Lost, Nothing, Unknown};
     let summary = format!(
         "{}: {} tries, {} kept, {} told nothing, {} unknown, {} lost, {} lookups, {} failed, {} late, longest gap {:?} ms",
-        o.scenario, h.tries.len(), ends(Kept), ends(Nothing), ends(Unknown), ends(Lost), h.lookups.0, h.lookups.1,
-        h.late, gap_after(&h, first)
+        o.scenario,
+        h.tries.len(),
+        ends(Kept),
+        ends(Nothing),
+        ends(Unknown),
+        ends(Lost),
+        h.lookups.0,
+        h.lookups.1,
+        h.late,
+        gap_after(&h, first)
     );
     let mut breaches = check(&h, &facts, &sent, &faults);
     if facts.lists.is_empty() || ends(Kept) == 0 {
@@ -197,54 +216,3 @@
         lookups: h.lookups,
     }
 }
-
-/// Every try in doubt is asked after until it is settled, so that the check can be strict.
-async fn settle(w: &Arc<World>, o: &Opts) {
-    let doubt: Vec<(String, usize)> = {
-        let h = w.book.lock().unwrap();
-        let last = |t: &crate::history::TryRow| t.ends.last().is_some_and(|e| e.0 != crate::history::End::Kept);
-        let open = h.tries.values().filter(|t| last(t) && !t.sealed);
-        let id = |k: &str| k[1..].split('-').next().and_then(|n| n.parse().ok()).unwrap_or(0);
-        open.map(|t| (t.key.clone(), id(&t.key))).collect()
-    };
-    for (key, id) in doubt {
-        let mut c = Caller::new(w.clone(), id, o.seed);
-        for _ in 0..40 {
-            let end = c.ask_after(&key).await;
-            let sealed = w.book.lock().unwrap().tries.get(&key).is_some_and(|t| t.sealed);
-            if end == crate::history::End::Kept || sealed {
-                break;
-            }
-            tokio::time::sleep(Duration::from_millis(200)).await;
-        }
-    }
-}
-
-/// What the servers hold: from whoever of a group has the most visible, and from each what it ran.
-async fn facts(p: &Plan) -> Facts {
-    let mut f = Facts::default();
-    let mut best: BTreeMap<String, (u64, Value)> = BTreeMap::new();
-    for s in &p.servers {
-        let Some(v) = lab(p, &s.name, "/lab/facts", &json!({})).await else { continue };
-        f.late_work += v["late_work"].as_u64().unwrap_or(0);
-        let c = v["commit"].as_u64().unwrap_or(0);
-        let lead = v["role"] == "Primary";
-        let e = best.entry(s.group.clone()).or_default();
-        if c > e.0 || (c == e.0 && lead) {
-            *e = (c, v["kv"].clone());
-        }
-        let ran = lab(p, &s.name, "/lab/journal", &json!({})).await.unwrap_or(Value::Null);
-        for row in ran.as_array().into_iter().flatten() {
-            let mark = row["params"][1].as_str().unwrap_or_default().to_owned();
-            let text = row["text"].as_str().unwrap_or_default().to_owned();
-            f.ran.push((s.name.clone(), row["txn"].as_u64().unwrap_or(0), text, mark));
-        }
-    }
-    for (g, (_, kv)) in best {
-        for (k, v) in kv.as_object().into_iter().flatten().filter(|(k, _)| k.starts_with("orders/")) {
-            let keys = v.as_array().into_iter().flatten().filter_map(|x| x.as_str().map(str::to_owned)).collect();
-            f.lists.insert((g.clone(), k.clone()), keys);
-        }
-    }
-    f
-}
--- a/crates/qh-lab/src/script.rs
+++ b/crates/qh-lab/src/script.rs
@@ -58,9 +58,27 @@
 }
 
 pub const ALL: &[&str] = &[
-    "calm", "lead-killed", "lead-paused", "lead-stalled", "lead-leaves", "lost-answers", "replica-stalled",
-    "replica-dark", "replica-killed", "resets", "all-bad", "lagging", "node-killed", "node-paused",
-    "nodes-restarted", "head-killed", "tail-killed", "keeper-paused", "pushes", "mixed", "lag-and-kill",
+    "calm",
+    "lead-killed",
+    "lead-paused",
+    "lead-stalled",
+    "lead-leaves",
+    "lost-answers",
+    "replica-stalled",
+    "replica-dark",
+    "replica-killed",
+    "resets",
+    "all-bad",
+    "lagging",
+    "node-killed",
+    "node-paused",
+    "nodes-restarted",
+    "head-killed",
+    "tail-killed",
+    "keeper-paused",
+    "pushes",
+    "mixed",
+    "lag-and-kill",
 ];
 
 /// The script of a scenario; times are from the start of the load.
@@ -70,14 +88,12 @@
     let same = Who::Same;
     Some(match scenario {
         "calm" => vec![],
-        "lead-killed" => vec![
-            last(step(3_000, lead(), Act::Kill, "lead")),
-            step(14_000, same("lead"), Act::Start, "lead"),
-        ],
-        "lead-paused" => vec![
-            last(step(3_000, lead(), Act::Pause, "lead")),
-            step(13_000, same("lead"), Act::Go, "lead"),
-        ],
+        "lead-killed" => {
+            vec![last(step(3_000, lead(), Act::Kill, "lead")), step(14_000, same("lead"), Act::Start, "lead")]
+        }
+        "lead-paused" => {
+            vec![last(step(3_000, lead(), Act::Pause, "lead")), step(13_000, same("lead"), Act::Go, "lead")]
+        }
         "lead-stalled" => vec![
             last(step(3_000, lead(), wish(|w| w.stall = Some(true)), "lead")),
             step(16_000, same("lead"), wish(|w| w.stall = Some(false)), "lead"),
@@ -103,7 +119,9 @@
             vec![step(3_000, rep(), Act::Kill, "r"), step(9_000, same("r"), Act::Start, "r")]
         }
         "resets" => (1..6)
-            .map(|i| step(i * 2_000, if i % 2 == 0 { lead() } else { rep() }, wish(|w| w.reset = Some(true)), "x"))
+            .map(|i| {
+                step(i * 2_000, if i % 2 == 0 { lead() } else { rep() }, wish(|w| w.reset = Some(true)), "x")
+            })
             .collect(),
         "all-bad" => ["g1s1", "g1s2", "g1s3"]
             .iter()
--- a/crates/qh-lab/src/sim/facts.rs
+++ b/crates/qh-lab/src/sim/facts.rs
@@ -75,7 +75,9 @@
         }
         let late = self.pushes.iter().find(|(e, at)| *e > edition && *at < now).copied();
         if let Some((e, at)) = late {
-            self.breach(format!("N10 at {now} node {node} began a visit under {edition}; {e} was acknowledged at {at}"));
+            self.breach(format!(
+                "N10 at {now} node {node} began a visit under {edition}; {e} was acknowledged at {at}"
+            ));
         }
     }
     pub fn open_at(&self, node: &str) -> Vec<u64> {
@@ -127,11 +129,15 @@
         let missed = self
             .tries
             .iter()
-            .find(|(k, x)| x.list == list && x.kept_at.is_some_and(|at| at < before) && !seen.contains(k.as_str()))
+            .find(|(k, x)| {
+                x.list == list && x.kept_at.is_some_and(|at| at < before) && !seen.contains(k.as_str())
+            })
             .map(|(k, x)| (k.clone(), x.kept_at.unwrap_or(0)));
         if let Some((k, at)) = missed {
             let word = if side { "N5 an order-side read" } else { "N6 a lookup" };
-            self.breach(format!("{word} by {node} asked at {asked}, answered at {now}, missed {k} kept at {at}"));
+            self.breach(format!(
+                "{word} by {node} asked at {asked}, answered at {now}, missed {k} kept at {at}"
+            ));
         }
     }
 
@@ -166,7 +172,12 @@
             self.breach(format!("N10 at {now} node {node} slipped from {had:?} to {e}, {n}"));
         }
     }
-    pub fn keeper(&mut self, now: Ms, name: &Name, (serving, view, n, committed): (bool, Edition, ChangeNo, ChangeNo)) {
+    pub fn keeper(
+        &mut self,
+        now: Ms,
+        name: &Name,
+        (serving, view, n, committed): (bool, Edition, ChangeNo, ChangeNo),
+    ) {
         if serving && n < self.committed {
             let c = self.committed;
             self.breach(format!("N10 at {now} {name} serves view {view} at {n} while {c} was committed"));
@@ -204,7 +215,9 @@
         match (n, t.kept_at) {
             (0, Some(at)) => bad.push(format!("N2 the order {k}, acknowledged at {at}, vanished")),
             (1.., _) if t.sealed => bad.push(format!("N3 the sealed order {k} was kept")),
-            (1.., None) if !t.doubt => bad.push(format!("N3 the order {k} was kept; all answers said nothing was")),
+            (1.., None) if !t.doubt => {
+                bad.push(format!("N3 the order {k} was kept; all answers said nothing was"))
+            }
             (_, None) if t.doubt && !t.sealed => bad.push(format!("the order {k} was never settled")),
             _ => {}
         }
--- a/crates/qh-lab/src/sim/faults.rs
+++ b/crates/qh-lab/src/sim/faults.rs
@@ -2,8 +2,9 @@
 use super::client::Client;
 use super::keeper::KeeperProc;
 use super::node::NodeProc;
-use super::server::{Platform, ServerProc};
-use super::world::{Ev, Kind, Pid, Proc, World};
+use super::platform::Platform;
+use super::server::ServerProc;
+use super::world::{Ev, Kind, Msg, Pid, Proc, World};
 use qh_core::{Labels, Ms, Name};
 use qh_state::keeper::Found;
 use qh_state::{Machine, View};
@@ -33,7 +34,15 @@
         let (rate, base) = (100_000 - 900 + w.rng.below(1_801), w.rng.below(1_000_000));
         let pid = w.procs.len();
         w.by_name.insert(name.clone(), pid);
-        w.procs.push(Proc { name: name.clone(), kind: make(base), up: true, life: 0, paused_until: 0, rate, base });
+        w.procs.push(Proc {
+            name: name.clone(),
+            kind: make(base),
+            up: true,
+            life: 0,
+            paused_until: 0,
+            rate,
+            base,
+        });
         let at = w.rng.below(20);
         w.at(at, Ev::Tick(pid, 0));
         pid
@@ -154,6 +163,38 @@
 }
 
 impl World {
+    pub fn crash(&mut self, p: Pid) {
+        if !self.procs[p].up {
+            return;
+        }
+        self.procs[p].up = false;
+        for to in 0..self.procs.len() {
+            if to != p {
+                self.send(p, to, Msg::Reset);
+            }
+        }
+    }
+    pub fn restart(&mut self, p: Pid) {
+        if self.procs[p].up {
+            return;
+        }
+        let pr = &mut self.procs[p];
+        pr.up = true;
+        pr.life += 1;
+        pr.paused_until = 0;
+        // A monotonic clock begins anew with its machine.
+        pr.base = self.rng.below(1_000_000);
+        let life = pr.life;
+        let now = self.local(p);
+        self.with(p, |_, k| match k {
+            Kind::Keeper(x) => x.restart(now),
+            Kind::Node(x) => x.restart(now),
+            Kind::Server(x) => x.restart(now),
+            Kind::Platform(_) => {}
+        });
+        self.at(self.now, Ev::Tick(p, life));
+    }
+
     /// A process dies within its own step; it is back a little later.
     pub fn crash_soon(&mut self, p: Pid) {
         self.crash(p);
--- a/crates/qh-lab/src/sim/keeper.rs
+++ b/crates/qh-lab/src/sim/keeper.rs
@@ -11,15 +11,25 @@
     asks: BTreeMap<u64, (Pid, u64)>,
     token: u64,
     told: Ms,
+    pub forgets: bool,
 }
 
 impl KeeperProc {
     pub fn new(name: Name, now: Ms, disk: Found) -> Self {
-        Self { k: Keeper::new(name, now, disk.clone()), disk, asks: BTreeMap::new(), token: 0, told: 0 }
+        Self {
+            k: Keeper::new(name, now, disk.clone()),
+            disk,
+            asks: BTreeMap::new(),
+            token: 0,
+            told: 0,
+            forgets: false,
+        }
     }
     /// A crash loses all but what was synced.
     pub fn restart(&mut self, now: Ms) {
+        let forgets = self.forgets;
         *self = Self::new(self.k.me.clone(), now, self.disk.clone());
+        self.forgets = forgets;
     }
     fn sync(&mut self, r: &Rec) {
         match r {
@@ -29,6 +39,8 @@
                 self.disk.store = store.as_ref().clone();
                 self.disk.log.clear();
             }
+            // The bug: entries are called synced and are not.
+            Rec::Entry { .. } if self.forgets => {}
             Rec::Entry { e } => {
                 self.disk.store.apply(e);
                 self.disk.log.push_back(e.clone());
@@ -39,6 +51,7 @@
         }
     }
     fn step(&mut self, w: &mut World, me: Pid, now: Ms, i: In) {
+        self.forgets = w.has_bug("unsynced");
         let outs = self.k.step(now, i);
         // A crash in the midst: all of the step is lost, or it is synced and nothing of it is sent.
         let fate = w.rng.below(100_000);
@@ -69,7 +82,8 @@
         if w.hist.tell && self.told + 1_000 < w.now {
             self.told = w.now;
             let s = self.k.status();
-            let line = format!("{} n {} committed {} in force {} {}", s.name, s.n, s.committed, s.in_force, s.why);
+            let line =
+                format!("{} n {} committed {} in force {} {}", s.name, s.n, s.committed, s.in_force, s.why);
             w.hist.say(w.now, &line);
         }
         let facts = (self.k.serving(), self.k.view.edition, self.k.store.n, self.k.committed);
--- a/crates/qh-lab/src/sim/mod.rs
+++ b/crates/qh-lab/src/sim/mod.rs
@@ -6,8 +6,13 @@
 pub mod keeper;
 pub mod node;
 pub mod node_duty;
+mod node_news;
 pub mod node_visit;
+pub mod platform;
+pub mod run;
 pub mod server;
+mod server_tick;
 pub mod world;
 
-pub use world::{Report, World, run};
+pub use run::{Report, run};
+pub use world::World;
--- a/crates/qh-lab/src/sim/node.rs
+++ b/crates/qh-lab/src/sim/node.rs
@@ -2,16 +2,15 @@
 //! what ties them to tokio in `qhd` is tied to virtual time here.
 use super::node_duty::Duty;
 use super::node_visit::Visit;
-use super::server::{SrvCall, SrvRep};
+use super::server::SrvCall;
 use super::world::{Msg, Pid, World};
 use qh_core::blueprint::{Judges, default_judges};
-use qh_core::{Beat, Ms, Name, Role, State};
+use qh_core::{Beat, Ms, Name};
 use qh_data::fresh::Seen;
 use qh_data::verdict::Health;
-use qh_mesh::member::Out as MeshOut;
-use qh_mesh::{Letter, Life, Mesh, Rumor};
-use qh_state::terms::{FEED, safe};
-use qh_state::{Ask, Rep, Store, View};
+use qh_mesh::{Life, Mesh, Rumor};
+use qh_state::terms::FEED;
+use qh_state::{Ask, Store, View};
 use std::collections::BTreeMap;
 
 /// What is on its way, and until when it is waited for.
@@ -51,16 +50,22 @@
     pub seen: BTreeMap<Name, Seen>,
     pub mesh: Mesh,
     seeds: Vec<Name>,
-    life: u64,
+    pub(super) life: u64,
     pub duty: Duty,
     pub visits: BTreeMap<u64, Visit>,
     pub judges: Judges,
-    led: Option<Name>,
+    pub(super) led: Option<Name>,
 }
 
 impl NodeProc {
     pub fn new(name: Name, district: Name, keepers: Vec<Name>, seeds: Vec<Name>, life: u64, now: Ms) -> Self {
-        let me = Rumor { name: name.clone(), addr: name.clone(), district: district.clone(), inc: life, life: Life::Alive };
+        let me = Rumor {
+            name: name.clone(),
+            addr: name.clone(),
+            district: district.clone(),
+            inc: life,
+            life: Life::Alive,
+        };
         let seed = qh_core::hash64(&[name.as_bytes(), &life.to_le_bytes()]);
         Self {
             mesh: Mesh::new(me, seeds.clone(), seed, now),
@@ -86,14 +91,29 @@
     }
     pub fn restart(&mut self, now: Ms) {
         let life = self.life + 1;
-        *self = Self::new(self.name.clone(), self.district.clone(), self.keepers.clone(), self.seeds.clone(), life, now);
+        *self = Self::new(
+            self.name.clone(),
+            self.district.clone(),
+            self.keepers.clone(),
+            self.seeds.clone(),
+            life,
+            now,
+        );
     }
     pub fn has_lease(&self, w: &World, now: Ms) -> bool {
         now < self.lease_until || (w.has_bug("no-lease") && self.lease_until > 0)
     }
 
     /// Sends a request and remembers what for.
-    pub fn ask(&mut self, w: &mut World, me: Pid, to: &str, until: Ms, p: Pend, m: impl FnOnce(u64) -> Msg) -> u64 {
+    pub fn ask(
+        &mut self,
+        w: &mut World,
+        me: Pid,
+        to: &str,
+        until: Ms,
+        p: Pend,
+        m: impl FnOnce(u64) -> Msg,
+    ) -> u64 {
         self.rid += 1;
         let rid = self.rid;
         if let Some(pid) = w.pid(to) {
@@ -138,7 +158,8 @@
                 }
             }
             Msg::Reset => {
-                let gone: Vec<u64> = self.pend.iter().filter(|(_, (_, to, _))| *to == from).map(|(r, _)| *r).collect();
+                let gone: Vec<u64> =
+                    self.pend.iter().filter(|(_, (_, to, _))| *to == from).map(|(r, _)| *r).collect();
                 for rid in gone {
                     if let Some((p, _, _)) = self.pend.remove(&rid) {
                         self.broke(w, me, now, p, false);
@@ -161,99 +182,9 @@
         }
     }
 
-    fn rep(&mut self, w: &mut World, me: Pid, now: Ms, p: Pend, rep: Rep) {
-        match (p, rep) {
-            (_, Rep::Elsewhere { view }) => self.learn(view),
-            (Pend::Feed { asked }, Rep::Changes { entries, lease_ms }) => {
-                if entries.iter().all(|e| self.store.apply(e).is_some()) {
-                    self.applied(w, asked + safe(lease_ms), now);
-                }
-            }
-            (Pend::Feed { asked }, Rep::Whole { store, lease_ms }) => {
-                if store.n >= self.store.n || w.has_bug("slip-back") {
-                    self.store = *store;
-                    self.applied(w, asked + safe(lease_ms), now);
-                }
-            }
-            (Pend::Duty { what }, Rep::Answer { answer, .. }) => self.duty_answer(now, what, answer),
-            (Pend::Push { key }, Rep::Answer { n, answer }) => w.hist.pushed(w.now, key, n, answer),
-            (Pend::View, Rep::Status { status }) => self.learn(status.view),
-            _ => {}
-        }
-        let _ = me;
-    }
-    fn applied(&mut self, w: &mut World, until: Ms, now: Ms) {
-        let lead = self.store.leads.get(super::node_duty::GROUP).and_then(|l| l.server.clone());
-        if lead != self.led {
-            self.seen.clear();
-            if let Some(r) = lead.as_ref().and_then(|s| self.rows.get_mut(s)) {
-                r.health.named(now);
-            }
-            self.led = lead;
-        }
-        self.lease_until = self.lease_until.max(until);
-        let (e, n) = (self.store.edition(), self.store.n);
-        w.hist.applied(w.now, &self.name, self.life, e, n);
-    }
-
-    fn broke(&mut self, w: &mut World, me: Pid, now: Ms, p: Pend, declined: bool) {
-        match p {
-            Pend::Feed { .. } | Pend::View => {
-                let k = self.any_keeper();
-                self.ask(w, me, &k, now + 400, Pend::View, |r| Msg::Ask(r, Ask::Status));
-            }
-            Pend::Status { server, asked } => self.status_failed(now, &server, asked, declined),
-            Pend::Visit { id } => self.visit_reply(w, me, now, id, None),
-            Pend::Duty { what } => self.duty_reply(now, what, None),
-            Pend::Sees | Pend::Push { .. } => {}
-        }
-    }
-
-    fn letter(&mut self, w: &mut World, me: Pid, now: Ms, l: Letter) {
-        let outs = self.mesh.take(now, l);
-        self.mesh_out(w, me, outs);
-    }
-    fn mesh_out(&mut self, w: &mut World, me: Pid, outs: Vec<MeshOut>) {
-        for o in outs {
-            match o {
-                MeshOut::Send(to, l) => w.send_name(me, &to, Msg::Letter(l)),
-                MeshOut::Beats(bs) => bs.into_iter().for_each(|b| self.beat(b)),
-                MeshOut::Turned(..) => {}
-            }
-        }
-    }
-    fn beat(&mut self, b: Beat) {
-        let r = self.rows.entry(b.server.clone()).or_default();
-        if b.edition() > r.beat.edition() {
-            r.beat = b.clone();
-            self.mesh.spread(b);
-        }
-    }
-
-    fn status(&mut self, now: Ms, server: &Name, asked: Ms, r: SrvRep) {
-        let Some(b) = r.beat else { return };
-        let group = Name::from(b.group());
-        let lead = self.store.leads.get(&group);
-        let leads = lead.is_some_and(|l| l.server.as_ref() == Some(server) && l.fence == r.stamp.fence);
-        if leads && r.stamp.role == Role::Primary && b.state != State::Starting {
-            self.seen.entry(group.clone()).or_default().note(asked, r.stamp.position);
-        }
-        let needed = self.seen.entry(group).or_default().needed(now, 1_500);
-        let row = self.rows.entry(server.clone()).or_default();
-        (row.answered, row.failing, row.declined) = (now, None, false);
-        if needed.is_some_and(|p| r.stamp.position >= p) {
-            row.health.status_good(now);
-        }
-        self.beat(b);
-    }
-    fn status_failed(&mut self, _now: Ms, server: &Name, asked: Ms, declined: bool) {
-        let row = self.rows.entry(server.clone()).or_default();
-        row.failing = row.failing.or(Some(asked));
-        row.declined = declined;
-    }
-
     pub fn tick(&mut self, w: &mut World, me: Pid, now: Ms) {
-        let late: Vec<u64> = self.pend.iter().filter(|(_, (_, _, until))| *until <= now).map(|(r, _)| *r).collect();
+        let late: Vec<u64> =
+            self.pend.iter().filter(|(_, (_, _, until))| *until <= now).map(|(r, _)| *r).collect();
         for rid in late {
             if let Some((p, _, _)) = self.pend.remove(&rid) {
                 match p {
@@ -270,7 +201,8 @@
             let ask = Ask::Feed { addr: node.clone(), node, have, applied };
             self.ask(w, me, &to, now + 400, Pend::Feed { asked: now }, |r| Msg::Ask(r, ask));
         }
-        let due: Vec<Name> = self.rows.iter().filter(|(_, r)| r.next <= now).map(|(n, _)| n.clone()).collect();
+        let due: Vec<Name> =
+            self.rows.iter().filter(|(_, r)| r.next <= now).map(|(n, _)| n.clone()).collect();
         for s in due {
             if let Some(r) = self.rows.get_mut(&s) {
                 r.next = now + 250;
--- a/crates/qh-lab/src/sim/node_duty.rs
+++ b/crates/qh-lab/src/sim/node_duty.rs
@@ -226,7 +226,9 @@
         let low: Vec<Name> = self
             .rows
             .iter()
-            .filter(|(n, r)| r.beat.fence < lead.fence && r.failing.is_none() && Some(*n) != lead.server.as_ref())
+            .filter(|(n, r)| {
+                r.beat.fence < lead.fence && r.failing.is_none() && Some(*n) != lead.server.as_ref()
+            })
             .map(|(n, _)| n.clone())
             .collect();
         for n in low {
--- a/crates/qh-lab/src/sim/node_visit.rs
+++ b/crates/qh-lab/src/sim/node_visit.rs
@@ -19,6 +19,7 @@
     fence: Fence,
     asking: bool,
     next: Ms,
+    since: Ms,
     tried: Vec<Name>,
 }
 
@@ -43,6 +44,7 @@
             fence: 0,
             asking: false,
             next: now,
+            since: now,
             tried: vec![],
         };
         self.visits.insert(id, v);
@@ -56,7 +58,9 @@
 
     /// Asks whoever is to be asked next.
     fn go(&mut self, w: &mut World, me: Pid, now: Ms, id: u64) {
-        let Some(mut v) = self.visits.get(&id).cloned().filter(|v| !v.asking && now >= v.next) else { return };
+        let Some(mut v) = self.visits.get(&id).cloned().filter(|v| !v.asking && now >= v.next) else {
+            return;
+        };
         let (to, call) = match &v.want {
             Want::Lookup { list } => {
                 let Some(s) = self.replica(&v.tried, now) else { return self.end(w, id, Told::Nothing) };
@@ -88,6 +92,7 @@
         };
         v.server = to.clone();
         v.asking = true;
+        v.since = now;
         v.sent |= matches!(v.want, Want::Order { .. });
         v.tried.push(to.clone());
         let (until, want) = (v.until, v.want.clone());
@@ -102,8 +107,13 @@
     fn replica(&self, tried: &[Name], _now: Ms) -> Option<Name> {
         let lead = self.lead().map(|l| l.0);
         let ok = |n: &Name| !tried.contains(n);
-        let good = |(n, r): &(&Name, &super::node::Row)| Some(*n) != lead.as_ref() && r.health.may_serve() && ok(n);
-        let near = self.rows.iter().filter(good).min_by_key(|(n, r)| (r.beat.district() != self.district, (*n).clone()));
+        let good =
+            |(n, r): &(&Name, &super::node::Row)| Some(*n) != lead.as_ref() && r.health.may_serve() && ok(n);
+        let near = self
+            .rows
+            .iter()
+            .filter(good)
+            .min_by_key(|(n, r)| (r.beat.district() != self.district, (*n).clone()));
         near.map(|(n, _)| n.clone()).or_else(|| lead.filter(ok))
     }
 
@@ -158,7 +168,8 @@
     fn lookup_reply(&mut self, w: &mut World, me: Pid, now: Ms, v: &Visit, r: SrvRep, lease: bool) {
         let lead = self.lead();
         let fresh = if lead.as_ref().is_some_and(|l| l.0 == v.server) {
-            r.stamp.role == Role::Primary && lead.is_some_and(|l| l.1 == r.stamp.fence)
+            let late = now > v.since + 1_500 - qh_data::fresh::MARGIN;
+            !late && r.stamp.role == Role::Primary && lead.is_some_and(|l| l.1 == r.stamp.fence)
         } else {
             let seen = self.seen.entry(GROUP.into()).or_default();
             seen.needed(now, 1_500).is_some_and(|p| r.stamp.position >= p) || w.has_bug("stale-lookup")
@@ -175,7 +186,9 @@
         let told = match (r.error, r.outcome) {
             (Some("try-sealed"), _) => Some(Told::Sealed),
             (Some("in-doubt"), _) => None,
-            (Some("fence-low" | "not-primary"), _) if matches!(v.want, Want::Order { .. }) && !self.asked_outcome(v) => {
+            (Some("fence-low" | "not-primary"), _)
+                if matches!(v.want, Want::Order { .. }) && !self.asked_outcome(v) =>
+            {
                 Some(Told::Nothing)
             }
             (Some(_), _) => None,
@@ -185,7 +198,11 @@
             (None, None) if stamped => Some(Told::Unknown),
             _ => None,
         };
-        if told == Some(Told::Kept) && let Some(s) = self.seen.get_mut(GROUP) {
+        // An outcome proves nothing of what else is visible: only a commit of its own does (§4.8).
+        if told == Some(Told::Kept)
+            && !asked
+            && let Some(s) = self.seen.get_mut(GROUP)
+        {
             s.note(v.until.saturating_sub(1_000), r.stamp.position);
         }
         match told {
--- a/crates/qh-lab/src/sim/server.rs
+++ b/crates/qh-lab/src/sim/server.rs
@@ -1,9 +1,8 @@
 //! A database server in the simulator: the stand-in's own [`Db`] behind the contract's calls (§3).
 use super::world::{Msg, Pid, World};
-use crate::db::{Db, Line, Outcome, Pull, Write};
+use crate::db::{Db, Line, Outcome, Write};
 use qh_core::{Beat, Fence, Labels, Ms, Name, Stamp, State};
 use serde_json::{Value, json};
-use std::collections::BTreeMap;
 
 #[derive(Clone, Debug)]
 pub enum SrvCall {
@@ -24,15 +23,15 @@
     pub beat: Option<Beat>,
 }
 
-struct Wait {
-    n: u64,
-    fence: Fence,
-    to: Pid,
-    rid: u64,
-    key: Name,
-    sum: u64,
-    outcome: bool,
-    until: Ms,
+pub(super) struct Wait {
+    pub(super) n: u64,
+    pub(super) fence: Fence,
+    pub(super) to: Pid,
+    pub(super) rid: u64,
+    pub(super) key: Name,
+    pub(super) sum: u64,
+    pub(super) outcome: bool,
+    pub(super) until: Ms,
 }
 
 pub struct ServerProc {
@@ -40,13 +39,13 @@
     disk: Vec<Line>,
     pub labels: Labels,
     pub peers: Vec<Name>,
-    waits: Vec<Wait>,
-    at: usize,
-    asked: Ms,
-    answered: bool,
+    pub(super) waits: Vec<Wait>,
+    pub(super) at: usize,
+    pub(super) asked: Ms,
+    pub(super) answered: bool,
     seq: u64,
     boot: u64,
-    next_beat: Ms,
+    pub(super) next_beat: Ms,
     pub stalled_until: Ms,
 }
 
@@ -80,7 +79,7 @@
         let d = &self.db;
         Stamp { server: d.name.clone(), fence: d.fence, position: d.position(), role: d.role }
     }
-    fn beat(&mut self) -> Beat {
+    pub(super) fn beat(&mut self) -> Beat {
         self.seq += 1;
         let d = &self.db;
         Beat {
@@ -99,18 +98,23 @@
     fn rep(&self) -> SrvRep {
         SrvRep { stamp: self.stamp(), rows: None, error: None, outcome: None, beat: None }
     }
-    fn no(&self, e: &'static str) -> SrvRep {
+    pub(super) fn no(&self, e: &'static str) -> SrvRep {
         SrvRep { error: Some(e), ..self.rep() }
     }
     fn leads(&self, f: Fence) -> Result<(), SrvRep> {
-        if self.db.leads(f) { Ok(()) } else { Err(self.no(if f < self.db.fence { "fence-low" } else { "not-primary" })) }
+        if self.db.leads(f) {
+            Ok(())
+        } else {
+            Err(self.no(if f < self.db.fence { "fence-low" } else { "not-primary" }))
+        }
     }
 
     pub fn take(&mut self, w: &mut World, me: Pid, now: Ms, from: Pid, m: Msg) {
         match m {
             Msg::Call(rid, c) => {
                 // A stall in storage: STATUS and fencing answer, statements do not until it is over.
-                let storage = matches!(c, SrvCall::Order { .. } | SrvCall::Read { .. } | SrvCall::Outcome { .. });
+                let storage =
+                    matches!(c, SrvCall::Order { .. } | SrvCall::Read { .. } | SrvCall::Outcome { .. });
                 if storage && w.now < self.stalled_until {
                     let at = self.stalled_until;
                     return w.at(at, super::world::Ev::Deliver { from, to: me, m: Msg::Call(rid, c) });
@@ -155,7 +159,11 @@
                 SrvRep { beat: Some(beat), ..self.rep() }
             }
             SrvCall::Promote(f) => {
-                if self.db.promote(f) { self.rep() } else { self.no("fence-low") }
+                if self.db.promote(f) {
+                    self.rep()
+                } else {
+                    self.no("fence-low")
+                }
             }
             SrvCall::Order { key, sum, fence, list } => {
                 if let Err(r) = self.leads(fence) {
@@ -193,7 +201,7 @@
             }
         })
     }
-    fn outcome(&self, o: Outcome) -> SrvRep {
+    pub(super) fn outcome(&self, o: Outcome) -> SrvRep {
         let (word, rows) = match o {
             Outcome::Kept { rows, .. } => ("kept", rows),
             Outcome::Sealed => ("sealed", json!([])),
@@ -202,7 +210,7 @@
         };
         SrvRep { outcome: Some(word), rows: Some(rows), ..self.rep() }
     }
-    fn told(&self, sum: u64, o: Outcome) -> SrvRep {
+    pub(super) fn told(&self, sum: u64, o: Outcome) -> SrvRep {
         match o {
             Outcome::Kept { sum: had, .. } if had != sum => self.no("try-reused"),
             Outcome::Kept { rows, .. } => SrvRep { rows: Some(rows), ..self.rep() },
@@ -210,92 +218,4 @@
             _ => self.no("in-doubt"),
         }
     }
-
-    /// Answers those whose record is on a second server, or who will never know here.
-    fn settle(&mut self, w: &mut World, me: Pid, now: Ms) {
-        for x in std::mem::take(&mut self.waits) {
-            let still = self.db.leads(x.fence) && self.db.still(x.n, x.fence);
-            let done = self.db.commit >= x.n && still;
-            if !done && still && now < x.until {
-                self.waits.push(x);
-                continue;
-            }
-            let o = self.db.outcome(&x.key);
-            let r = match (done, x.outcome) {
-                (true, true) => self.outcome(o),
-                (true, false) => self.told(x.sum, o),
-                (false, _) => self.no("in-doubt"),
-            };
-            w.send(me, x.to, Msg::Reply(x.rid, r));
-        }
-    }
-
-    pub fn tick(&mut self, w: &mut World, me: Pid, now: Ms) {
-        self.settle(w, me, now);
-        if self.db.role == qh_core::Role::Replica && !self.peers.is_empty() && (now >= self.asked + 60 || self.answered) {
-            if !self.answered && self.asked != 0 {
-                self.at += 1;
-            }
-            self.answered = false;
-            self.asked = now;
-            let p = Pull { server: self.db.name.clone(), fence: self.db.fence, have: self.db.end() };
-            let to = self.peers[self.at % self.peers.len()].clone();
-            w.send_name(me, &to, Msg::Pull(p));
-        }
-        if now >= self.next_beat {
-            self.next_beat = now + 500;
-            let b = self.beat();
-            let nodes = w.client.nodes.clone();
-            for _ in 0..2 {
-                if let Some(n) = w.rng.pick(&nodes).copied() {
-                    w.send(me, n, Msg::Beat(b.clone()));
-                }
-            }
-        }
-    }
-}
-
-/// The platform: promotions under a rising fence, one server a fence.
-#[derive(Default)]
-pub struct Platform {
-    fences: BTreeMap<Name, (u64, Name, Name)>,
-    open: BTreeMap<u64, (Pid, u64)>,
-    rid: u64,
-}
-
-impl Platform {
-    pub fn take(&mut self, w: &mut World, me: Pid, from: Pid, m: Msg) {
-        match m {
-            Msg::Promote { rid, group, server, fence, node } => {
-                let had = self.fences.get(&group).cloned().unwrap_or_default();
-                let new = (fence, node, server.clone());
-                if fence < had.0 || (fence == had.0 && had != new) {
-                    let e = SrvRep {
-                        stamp: Stamp::default(),
-                        rows: None,
-                        error: Some("fence-low"),
-                        outcome: None,
-                        beat: None,
-                    };
-                    return w.send(me, from, Msg::Reply(rid, e));
-                }
-                self.fences.insert(group, new);
-                self.rid += 1;
-                self.open.insert(self.rid, (from, rid));
-                let mine = self.rid;
-                w.send_name(me, &server, Msg::Call(mine, SrvCall::Promote(fence)));
-            }
-            Msg::Reply(r, rep) => {
-                if let Some((to, rid)) = self.open.remove(&r) {
-                    w.send(me, to, Msg::Reply(rid, rep));
-                }
-            }
-            Msg::Broke(r) => {
-                if let Some((to, rid)) = self.open.remove(&r) {
-                    w.send(me, to, Msg::Broke(rid));
-                }
-            }
-            _ => {}
-        }
-    }
 }
--- a/crates/qh-lab/src/sim/world.rs
+++ b/crates/qh-lab/src/sim/world.rs
@@ -4,7 +4,8 @@
 use super::faults;
 use super::keeper::KeeperProc;
 use super::node::NodeProc;
-use super::server::{Platform, ServerProc, SrvCall, SrvRep};
+use super::platform::Platform;
+use super::server::{ServerProc, SrvCall, SrvRep};
 use crate::db::{Pull, Pulled};
 use qh_core::rng::Rng;
 use qh_core::{Beat, Ms, Name};
@@ -28,7 +29,13 @@
     Beat(Beat),
     Sees(u64, Name),
     Seen(u64, bool, bool),
-    Promote { rid: u64, group: Name, server: Name, fence: u64, node: Name },
+    Promote {
+        rid: u64,
+        group: Name,
+        server: Name,
+        fence: u64,
+        node: Name,
+    },
     /// Nobody listens there, or the link was reset: the request `rid` has no answer.
     Broke(u64),
     /// The process at the other end crashed: every link to it is reset.
@@ -79,22 +86,6 @@
     pub bug: Option<String>,
 }
 
-/// What a run came to.
-#[derive(Debug, Default)]
-pub struct Report {
-    pub seed: u64,
-    pub breaches: Vec<String>,
-    pub kept: usize,
-    pub tries: usize,
-    pub reads: usize,
-    pub pushes: usize,
-    pub promotions: usize,
-    pub sent: u64,
-    /// Hash of all that happened: two runs of one seed have the same.
-    pub trace: u64,
-    pub back_ms: Ms,
-}
-
 /// Ticks of every process, in its own time.
 const TICK: Ms = 20;
 
@@ -117,7 +108,8 @@
         if self.cuts.contains(&(from, to)) || self.rng.chance(self.drop_pm) {
             return;
         }
-        let copies = if self.rng.chance(self.dup_pm) && !matches!(m, Msg::Broke(_) | Msg::Reset) { 2 } else { 1 };
+        let copies =
+            if self.rng.chance(self.dup_pm) && !matches!(m, Msg::Broke(_) | Msg::Reset) { 2 } else { 1 };
         for _ in 0..copies {
             let d = self.delay.0 + self.rng.below(self.delay.1 - self.delay.0 + 1);
             let e = Ev::Deliver { from, to, m: m.clone() };
@@ -180,39 +172,7 @@
         self.at(self.now + TICK + jitter, Ev::Tick(p, life));
     }
 
-    pub fn crash(&mut self, p: Pid) {
-        if !self.procs[p].up {
-            return;
-        }
-        self.procs[p].up = false;
-        for to in 0..self.procs.len() {
-            if to != p {
-                self.send(p, to, Msg::Reset);
-            }
-        }
-    }
-    pub fn restart(&mut self, p: Pid) {
-        if self.procs[p].up {
-            return;
-        }
-        let pr = &mut self.procs[p];
-        pr.up = true;
-        pr.life += 1;
-        pr.paused_until = 0;
-        // A monotonic clock begins anew with its machine.
-        pr.base = self.rng.below(1_000_000);
-        let life = pr.life;
-        let now = self.local(p);
-        self.with(p, |_, k| match k {
-            Kind::Keeper(x) => x.restart(now),
-            Kind::Node(x) => x.restart(now),
-            Kind::Server(x) => x.restart(now),
-            Kind::Platform(_) => {}
-        });
-        self.at(self.now, Ev::Tick(p, life));
-    }
-
-    fn step_until(&mut self, end: Ms, trace: &mut u64) {
+    pub(super) fn step_until(&mut self, end: Ms, trace: &mut u64) {
         while let Some((&(t, n), _)) = self.q.first_key_value() {
             if t > end {
                 break;
@@ -237,38 +197,6 @@
     }
 }
 
-/// Runs one seed: a quiet start, a time of faults, healing, and the checks.
-pub fn run(seed: u64, keepers: usize, nodes: usize, bug: Option<&str>, tell: bool) -> Report {
-    let mut w = faults::lay_out(seed, keepers, nodes, bug);
-    w.hist.tell = tell;
-    let mut trace = 0;
-    const START: Ms = 8_000;
-    const FAULTS: Ms = 40_000;
-    const HEAL: Ms = 25_000;
-    w.at(4_000, Ev::Client);
-    faults::schedule(&mut w, START, FAULTS);
-    w.step_until(START + FAULTS, &mut trace);
-    faults::heal(&mut w);
-    let healed = w.now;
-    w.step_until(healed + HEAL, &mut trace);
-    w.client.stop = true;
-    w.step_until(w.now + 15_000, &mut trace);
-    super::facts::check(&mut w, healed);
-    let h = &w.hist;
-    Report {
-        seed,
-        kept: h.kept(),
-        tries: h.tries.len(),
-        reads: h.reads,
-        pushes: h.pushes.len(),
-        promotions: h.promotions,
-        sent: w.sent,
-        trace,
-        back_ms: h.back_after(healed),
-        breaches: h.breaches.clone(),
-    }
-}
-
 impl World {
     pub fn empty(seed: u64, bug: Option<&str>) -> World {
         World {
--- a/crates/qh-state/src/chain.rs
+++ b/crates/qh-state/src/chain.rs
@@ -130,7 +130,8 @@
     /// A newer view that was accepted here but never agreed keeps the lease of the present one from being
     /// renewed; if its proposer does not see it through, whoever holds it does (§5.3).
     fn finish_half(&mut self) -> bool {
-        let half = self.acc.accepted.as_ref().map(|(_, v)| v.clone()).filter(|v| v.edition > self.view.edition);
+        let half =
+            self.acc.accepted.as_ref().map(|(_, v)| v.clone()).filter(|v| v.edition > self.view.edition);
         let Some(want) = half else {
             self.half_since = None;
             return false;
--- a/crates/qh-state/src/keeper.rs
+++ b/crates/qh-state/src/keeper.rs
@@ -80,8 +80,7 @@
         let mut prop = Proposer::new(rank);
         prop.seen(f.acc.promised.n);
         Self {
-            // A tail that comes back may have had a lease of its own view out; so wait as a new one does.
-            wait_until: now + outlast(VIEW_LEASE),
+            wait_until: now + outlast(VIEW_LEASE), // as a new tail does
             joined: f.view.head() == Some(&me),
             me,
             now,
@@ -241,7 +240,7 @@
             if let Some(p) = self.view.beside(&self.me, -1).cloned() {
                 let need = PeerMsg::Need { edition: self.view.edition, n: self.store.n };
                 self.send(&p, need);
-                // Said again each time: an acknowledgement may be lost, or have crossed a change of view.
+                // Said again each time, as it may be lost or have crossed a change of view.
                 let ack = self.ack();
                 self.send(&p, ack);
             }
--- a/crates/qhd/src/feed.rs
+++ b/crates/qhd/src/feed.rs
@@ -26,10 +26,9 @@
         let news = match f.chain.ask(&to, ask, WITHIN).await {
             Ok(Rep::Changes { entries, lease_ms }) => {
                 let mut s = f.store.lock().unwrap();
-                let moved = !entries.is_empty();
                 let whole = entries.iter().all(|e| s.apply(e).is_some());
                 // A gap is no ground to act on; the next poll starts from what was applied.
-                whole.then_some((lease_ms, moved))
+                whole.then_some(lease_ms)
             }
             Ok(Rep::Whole { store, lease_ms }) => {
                 let mut s = f.store.lock().unwrap();
@@ -38,7 +37,7 @@
                 if newer {
                     *s = *store;
                 }
-                newer.then_some((lease_ms, true))
+                newer.then_some(lease_ms)
             }
             Ok(Rep::Elsewhere { view }) => {
                 f.chain.learn(view);
@@ -53,10 +52,11 @@
                 None
             }
         };
-        if let Some((lease_ms, moved)) = news {
-            if moved {
-                publish(&f);
-            }
+        // What is applied is on the blackboard before the next poll says that it is.
+        if f.store.lock().unwrap().n > have {
+            publish(&f);
+        }
+        if let Some(lease_ms) = news {
             f.node.board.renew_lease(asked + safe(lease_ms));
         }
         let has = f.node.board.has_lease();
--- a/crates/qhlab/src/args.rs
+++ b/crates/qhlab/src/args.rs
@@ -73,8 +73,10 @@
     })
 }
 
-const FLAGS: &[&str] =
-    &["shape", "dir", "port", "name", "addr", "label", "peer", "desk", "data", "shown", "door", "scenario", "seconds", "callers", "pause-ms", "seed", "seeds", "from", "keepers", "nodes", "bug"];
+const FLAGS: &[&str] = &[
+    "shape", "dir", "port", "name", "addr", "label", "peer", "desk", "data", "shown", "door", "scenario",
+    "seconds", "callers", "pause-ms", "seed", "seeds", "from", "keepers", "nodes", "bug",
+];
 
 pub fn read() -> Result<Option<Cmd>, String> {
     use lexopt::prelude::*;
--- a/crates/qhlab/src/simulate.rs
+++ b/crates/qhlab/src/simulate.rs
@@ -46,5 +46,9 @@
         all.iter().fold(0u64, |a, r| a.rotate_left(7) ^ r.trace)
     );
     let bad = all.iter().filter(|r| !r.breaches.is_empty()).count();
-    if bad == 0 && lost == 0 { Ok(()) } else { Err(format!("{bad} seeds with breaches, {lost} threads lost")) }
+    if bad == 0 && lost == 0 {
+        Ok(())
+    } else {
+        Err(format!("{bad} seeds with breaches, {lost} threads lost"))
+    }
 }
--- a/crates/qhlab/src/up.rs
+++ b/crates/qhlab/src/up.rs
@@ -78,7 +78,8 @@
     let names: Vec<&str> = if o.scenario == "all" { script::ALL.to_vec() } else { vec![o.scenario.as_str()] };
     let mut bad = 0;
     for n in names {
-        let steps = script::of(n).ok_or_else(|| format!("there is no scenario {n:?}; there are {}", script::ALL.join(" ")))?;
+        let steps = script::of(n)
+            .ok_or_else(|| format!("there is no scenario {n:?}; there are {}", script::ALL.join(" ")))?;
         let mut r = start(&u).await?;
         let one = scenario::Opts { scenario: n.into(), ..o.clone() };
         let out = scenario::run(&mut r, steps, &one).await;
