--- a/crates/qh-data/src/verdict.rs
+++ b/crates/qh-data/src/verdict.rs
@@ -4,6 +4,8 @@
 use qh_core::{Ms, messages};
 use std::collections::VecDeque;
 
+/// A stall is held against a lead this long.
+const STALLED_FOR: Ms = 10_000;
 /// Turns kept for `qh explain`.
 const TURNS: usize = 64;
 
@@ -28,6 +30,8 @@
     good: u64,
     trying: Option<u64>,
     pub asides: u64,
+    /// When replies were last found owed and overdue; a lead that stalls is known by it (§5.5).
+    pub stalled_at: Option<Ms>,
 }
 
 impl Health {
@@ -68,6 +72,7 @@
     pub fn named(&mut self, now: Ms) {
         self.evidence.clear();
         self.trying = None;
+        self.stalled_at = None;
         if self.verdict != Verdict::InRotation {
             self.turn(now, Verdict::InRotation, "it was named to lead".into());
         }
@@ -81,6 +86,9 @@
             Sign::Overdue | Sign::Stall => j.overdue_weight,
             Sign::Late => j.late_weight,
         };
+        if matches!(sign, Sign::Stall | Sign::Overdue) {
+            self.stalled_at = Some(now);
+        }
         while self.evidence.front().is_some_and(|e| e.at + j.evidence_ms < now) {
             self.evidence.pop_front();
         }
@@ -104,6 +112,11 @@
         }
     }
 
+    /// Did it stall lately?
+    pub fn stalled(&self, now: Ms) -> bool {
+        self.stalled_at.is_some_and(|at| now < at + STALLED_FOR)
+    }
+
     /// Time passes: replies become overdue.
     pub fn tick(&mut self, now: Ms, j: &Judges) {
         for f in self.overdue.tick(now) {
--- a/crates/qh-lab/src/sim/node_duty.rs
+++ b/crates/qh-lab/src/sim/node_duty.rs
@@ -208,7 +208,7 @@
         if let Some((r, fence)) = named.and_then(|(n, f)| self.rows.get(&n).map(|r| (r, f))) {
             s.failing = r.failing.map(|at| now.saturating_sub(at));
             s.declined = r.declined;
-            s.aside = !r.health.may_serve();
+            s.aside = r.health.stalled(now);
             let leads = r.beat.role == Role::Primary && r.beat.fence == fence;
             let wrong = !leads && r.failing.is_none() && r.answered > 0;
             self.duty.wrong = if wrong { self.duty.wrong.or(Some(now)) } else { None };
--- a/crates/qhd/src/dutyd.rs
+++ b/crates/qhd/src/dutyd.rs
@@ -94,7 +94,7 @@
     s.failing = status.failing.map(|at| now().saturating_sub(at));
     s.declined = status.declined;
     s.leaving = row.leaving();
-    s.aside = !row.health.lock().unwrap().may_serve() && stalled(row);
+    s.aside = row.health.lock().unwrap().stalled(now());
     let b = row.beat.read().unwrap().clone();
     let leads = b.role == qh_core::Role::Primary && b.fence == fence && b.state != State::Starting;
     let wrong_now = !leads && status.failing.is_none() && status.answered > 0;
@@ -103,13 +103,6 @@
     s
 }
 
-/// Was it set aside because replies are owed and overdue?
-fn stalled(row: &qh_data::board::ServerRow) -> bool {
-    use qh_data::judge::Sign;
-    let h = row.health.lock().unwrap();
-    h.turns.back().is_some_and(|t| t.evidence.iter().any(|e| matches!(e.sign, Sign::Stall | Sign::Overdue)))
-}
-
 async fn look(f: &Arc<Fleet>, g: &Name, st: &mut Group) {
     let s = sight(f, g, st);
     fence_stragglers(f, g, st).await;
--- a/crates/qhd/src/meshd.rs
+++ b/crates/qhd/src/meshd.rs
@@ -162,7 +162,7 @@
             let row = f.node.board.row(&server);
             let heard = row.is_some();
             let st = row.as_ref().map(|r| r.status.lock().unwrap().clone()).unwrap_or_default();
-            let aside = row.is_some_and(|r| !r.health.lock().unwrap().may_serve());
+            let aside = row.is_some_and(|r| r.health.lock().unwrap().stalled(now()));
             NodeRep::Sees { failing_ms: st.failing.map(|at| now().saturating_sub(at)), aside, heard }
         }
         NodeAsk::Report { what, key } => {
