--- a/crates/qh-core/src/check.rs
+++ b/crates/qh-core/src/check.rs
@@ -32,8 +32,13 @@
             if !["order", "lookup"].contains(&r.class.as_str()) {
                 w.push(format!("{at}.class: {:?} is neither \"order\" nor \"lookup\"", r.class));
             }
-            if self.placement(&r.placement).is_none() {
-                w.push(format!("{at}.placement: no placement is named {:?}", r.placement));
+            match self.placement(&r.placement) {
+                None => w.push(format!("{at}.placement: no placement is named {:?}", r.placement)),
+                // Orders go to one primary, so to one group.
+                Some(p) if r.class == "order" && p.select.get("group").is_none_or(|g| g.len() != 1) => {
+                    w.push(format!("{at}.placement: orders need a placement that selects exactly one group"));
+                }
+                Some(_) => {}
             }
             range(&mut w, &format!("{at}.timeout_ms"), r.timeout_ms, 50, 60_000);
             range(&mut w, &format!("{at}.fresh_ms"), r.fresh_ms, 500, 1_500);
@@ -122,3 +127,44 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use crate::Code;
+    use crate::blueprint::Blueprint;
+
+    const GOOD: &str = "[[placements]]\nname=\"p\"\nselect={group=[\"g\"]}\n[[rules]]\nname=\"r\"\n\
+                        class=\"order\"\nplacement=\"p\"\n";
+
+    fn wrong(text: &str, want: &str) {
+        let b = Blueprint::read(text).expect_err("it was taken");
+        assert!(b.is(Code::BlueprintInvalid) && b.text.contains(want), "{b} lacks {want:?}");
+    }
+
+    #[test]
+    fn a_good_one_is_read_from_toml_and_json_alike() {
+        let a = Blueprint::read(GOOD).unwrap();
+        assert_eq!(Blueprint::read(&a.to_json()).unwrap(), a);
+        assert_eq!(a.judges.query_timeout_ms, 30_000);
+    }
+
+    #[test]
+    fn every_kind_of_mistake_is_named_with_its_path() {
+        wrong("nonsense", "");
+        wrong(&format!("{GOOD}colour = 1\n"), "colour");
+        wrong(&format!("{GOOD}[links]\nper_replica = 0\n"), "links.per_replica: 0 is outside");
+        wrong(&GOOD.replace("group=", "host="), "chosen by labels");
+        wrong(&GOOD.replace("[\"g\"]", "[\"10.0.0.1:5432\"]"), "is an address");
+        wrong(&GOOD.replace("[\"g\"]", "[]"), "matches nothing");
+        wrong(&GOOD.replace("placement=\"p\"", "placement=\"q\""), "no placement is named");
+        wrong(&GOOD.replace("[\"g\"]", "[\"g\",\"h\"]"), "exactly one group");
+        wrong(&format!("{GOOD}timeout_ms = 5\n"), "rules[0].timeout_ms: 5 is outside");
+        wrong(&format!("{GOOD}query_timeout_ms = 200\n"), "shorter than the rule's");
+        wrong(&format!("{GOOD}[judges]\nreset_weight = 1\n"), "this judge must suffice");
+        let twice = format!("{GOOD}[[rules]]\nname=\"r\"\nclass=\"order\"\nplacement=\"p\"\n");
+        wrong(&twice, "used twice");
+        wrong(&twice, "an earlier rule takes all");
+        let p = GOOD.replace("select={group=[\"g\"]}", "select={group=[\"g\"]}\nexcept={group=[\"g\"]}");
+        wrong(&p, "leaves nothing");
+    }
+}
--- a/crates/qh-core/src/http.rs
+++ b/crates/qh-core/src/http.rs
@@ -131,3 +131,19 @@
 pub async fn post(addr: &str, path: &str, body: &Value, within: Duration) -> std::io::Result<(u16, Value)> {
     once(addr, &Call { method: "POST", path, body, token: None }, within).await
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// DESIGN's two kernel layers, read back from the socket (§4.4).
+    #[tokio::test]
+    async fn a_socket_to_a_server_carries_keep_alive_and_user_timeout() {
+        let lst = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let s = TcpStream::connect(lst.local_addr().unwrap()).await.unwrap();
+        assert_ne!(s.watched().unwrap(), Watch::default());
+        s.watch(Watch::default()).unwrap();
+        let w = s.watched().unwrap();
+        assert_eq!((w.idle.as_secs(), w.user_timeout.as_secs()), (30, 10));
+    }
+}
