Disk machines come and go: ballots outdone, new machines reached, asked until it is done

Cause, seen on a real fleet: a proposer began under a ballot lower than one it had promised and gave up; an addition was then half accepted, as the new machine's address was not in the present view, and the half view kept the lease from being renewed. Now the proposer outdoes its own promise, addresses of a view under way are known, and a machine that does not answer is not added.

--- a/crates/qh-state/src/asks.rs
+++ b/crates/qh-state/src/asks.rs
@@ -110,6 +110,12 @@
         self.waiters = keep;
     }
 
+    /// Where a machine is reached: one that a view under way brings in is not in the present one yet.
+    pub fn addr(&self, name: &str) -> Option<Name> {
+        let half = self.acc.accepted.as_ref().and_then(|(_, v)| v.addr(name));
+        self.view.addr(name).or(half).cloned()
+    }
+
     pub fn status(&self) -> KeeperStatus {
         let why = if !self.view.has(&self.me) {
             "outside the view"
--- a/crates/qh-state/src/chain.rs
+++ b/crates/qh-state/src/chain.rs
@@ -122,6 +122,8 @@
             return;
         }
         self.proposed = self.now;
+        // Whatever this machine promised is a ballot to be outdone.
+        self.prop.seen(self.acc.promised.n);
         let base = self.view.clone();
         let moves = self.prop.begin(self.now, &base, want);
         self.moves(moves);
--- a/crates/qh-state/src/drive.rs
+++ b/crates/qh-state/src/drive.rs
@@ -97,7 +97,7 @@
             match o {
                 Out::Persist(_) => {}
                 Out::Send(to, m) => {
-                    if let Some(addr) = k.view.addr(&to).cloned() {
+                    if let Some(addr) = k.addr(&to) {
                         peers.send(addr, m);
                     }
                 }
--- /dev/null
+++ b/crates/qh-state/tests/chain.rs
@@ -0,0 +1,133 @@
+//! The chain and its view in a small loop of virtual time (§5.2, §5.3).
+use assert_matches::assert_matches;
+use qh_core::{Code, Ms, Name};
+use qh_state::keeper::{Found, In, Out};
+use qh_state::{Answer, Ask, Cmd, Keeper, Machine, PeerMsg, Rep, View};
+use std::collections::{BTreeMap, VecDeque};
+
+#[derive(Default)]
+struct Net {
+    now: Ms,
+    ks: BTreeMap<Name, Keeper>,
+    down: Vec<Name>,
+    wire: VecDeque<(Name, Name, PeerMsg)>,
+    reps: Vec<(u64, Rep)>,
+}
+
+fn machine(n: &str) -> Machine {
+    Machine { name: n.into(), addr: n.into() }
+}
+
+impl Net {
+    fn new(names: &[&str]) -> Self {
+        let view = View {
+            edition: 1,
+            members: names.iter().map(|n| Name::from(*n)).collect(),
+            machines: names.iter().map(|n| machine(n)).collect(),
+        };
+        let mut net = Net { now: 1_000, ..Default::default() };
+        for n in names {
+            net.add(n, view.clone());
+        }
+        net
+    }
+    fn add(&mut self, n: &str, view: View) {
+        let k = Keeper::new(n.into(), self.now, Found { view, ..Default::default() });
+        self.ks.insert(n.into(), k);
+    }
+    fn step(&mut self, n: &str, i: In) {
+        if self.down.iter().any(|d| d == n) {
+            return;
+        }
+        let now = self.now;
+        let Some(k) = self.ks.get_mut(n) else { return };
+        for o in k.step(now, i) {
+            match o {
+                Out::Send(to, m) => self.wire.push_back((n.into(), to, m)),
+                Out::Reply(t, r) => self.reps.push((t, r)),
+                Out::Persist(_) | Out::Say(_) => {}
+            }
+        }
+    }
+    fn run(&mut self, ms: Ms) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now += 20;
+            for n in self.ks.keys().cloned().collect::<Vec<_>>() {
+                self.step(&n, In::Tick);
+            }
+            while let Some((from, to, m)) = self.wire.pop_front() {
+                self.step(&to, In::Peer { from, m });
+            }
+        }
+    }
+    fn ask(&mut self, n: &str, token: u64, ask: Ask) {
+        self.step(n, In::Ask { token, ask });
+    }
+    fn view(&self, n: &str) -> &View {
+        &self.ks[n].view
+    }
+}
+
+fn push(base: u64, text: &str) -> Cmd {
+    Cmd::Push { base, text: text.into(), by: "t".into() }
+}
+
+#[test]
+fn a_write_is_taken_once_and_answered_alike() {
+    let mut net = Net::new(&["k1", "k2", "k3"]);
+    net.run(6_000);
+    net.ask("k1", 1, Ask::Write { key: "a".into(), cmd: push(0, "x") });
+    net.run(300);
+    net.ask("k1", 2, Ask::Write { key: "a".into(), cmd: push(0, "x") });
+    net.ask("k1", 3, Ask::Write { key: "a".into(), cmd: push(0, "y") });
+    net.ask("k1", 4, Ask::Write { key: "b".into(), cmd: push(0, "y") });
+    net.ask("k2", 5, Ask::Write { key: "c".into(), cmd: push(1, "z") });
+    net.run(300);
+    let of = |t: u64| net.reps.iter().find(|r| r.0 == t).map(|r| r.1.clone());
+    assert_matches!(of(1), Some(Rep::Answer { answer: Answer::Edition(1), .. }));
+    assert_matches!(of(2), Some(Rep::Answer { answer: Answer::Edition(1), .. }));
+    assert_matches!(of(3), Some(Rep::Answer { answer: Answer::Declined(b), .. }) if b.is(Code::PushConflict));
+    assert_matches!(of(4), Some(Rep::Answer { answer: Answer::Declined(b), .. }) if b.is(Code::BlueprintStale));
+    assert_matches!(of(5), Some(Rep::Elsewhere { .. }));
+}
+
+#[test]
+fn a_minority_never_mends_and_never_serves() {
+    let mut net = Net::new(&["k1", "k2", "k3"]);
+    net.run(3_000);
+    assert!(net.ks["k3"].serving());
+    net.down = vec!["k1".into(), "k2".into()];
+    net.run(6_000);
+    assert_eq!(net.view("k3").edition, 1);
+    assert!(!net.ks["k3"].serving());
+}
+
+/// A disk is lost: the machine goes, another comes under a new name (docs/operate.md).
+#[test]
+fn a_machine_is_taken_out_and_another_brought_in() {
+    let mut net = Net::new(&["k1", "k2", "k3"]);
+    net.run(6_000);
+    net.ask("k1", 1, Ask::Write { key: "a".into(), cmd: push(0, "x") });
+    net.run(200);
+    net.down = vec!["k2".into()];
+    net.run(3_000);
+    let v = net.view("k1").clone();
+    assert_eq!((v.edition, v.members.len()), (2, 2));
+    let rest: Vec<Machine> = v.machines.iter().filter(|m| m.name != "k2").cloned().collect();
+    net.ask("k1", 2, Ask::Machines { edition: v.edition, machines: rest.clone() });
+    net.run(3_000);
+    let v = net.view("k1").clone();
+    assert_eq!((v.edition, v.machines.len()), (3, 2));
+    let mut more = rest;
+    more.push(machine("k4"));
+    net.add("k4", View::default());
+    net.ask("k3", 3, Ask::Machines { edition: v.edition, machines: more });
+    net.run(6_000);
+    assert_eq!(net.view("k3").members, ["k1", "k3", "k4"]);
+    assert!(net.ks["k4"].serving());
+    assert_eq!(net.ks["k4"].store.edition(), 1);
+    net.ask("k1", 4, Ask::Machines { edition: 3, machines: vec![machine("k1")] });
+    net.run(100);
+    assert_matches!(net.reps.last(), Some((4, Rep::Declined { why })) if why.is(Code::MemberChange));
+}
--- a/crates/qhd/src/ops.rs
+++ b/crates/qhd/src/ops.rs
@@ -199,21 +199,30 @@
     if machines == v.machines {
         return Ok(json!({"view": v}));
     }
-    match f
-        .chain
-        .ask(&f.chain.head(), Ask::Machines { edition: v.edition, machines }, Duration::from_secs(2))
-        .await?
-    {
-        Rep::Declined { why } => Err(why),
-        _ => {
-            for _ in 0..20 {
-                tokio::time::sleep(Duration::from_millis(150)).await;
-                f.chain.learn_from(&f.chain.head()).await;
-                if f.chain.view().edition > v.edition {
-                    return Ok(json!({"view": f.chain.view()}));
-                }
-            }
-            Err(Code::MemberChange.because("the view did not change in time; look at `qh members`").unknown())
+    // A machine that does not answer would count towards the majorities and hold the chain up.
+    if let Some((n, a)) = add {
+        let st = f.chain.ask(a, Ask::Status, Duration::from_millis(700)).await;
+        if !matches!(&st, Ok(Rep::Status { status }) if status.name == n) {
+            let why = format!("no keeper {n} answers at {a}; start it with --join first");
+            return Err(Code::MemberChange.because(why));
+        }
+    }
+    for _ in 0..12 {
+        let ask = Ask::Machines { edition: v.edition, machines: machines.clone() };
+        if let Ok(Rep::Declined { why }) = f.chain.ask(&f.chain.head(), ask, Duration::from_secs(1)).await
+            && !why.is(Code::MemberChange)
+        {
+            return Err(why);
+        }
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        f.chain.learn_from(&f.chain.head()).await;
+        let now = f.chain.view();
+        if now.machines == machines {
+            return Ok(json!({"view": now}));
+        }
+        if now.edition != v.edition {
+            return Err(Code::MemberChange.because("the view changed meanwhile; ask again"));
         }
     }
+    Err(Code::MemberChange.because("the view did not change in time; look at `qh members`").unknown())
 }
