--- a/crates/qh-lab/src/fleet.rs
+++ b/crates/qh-lab/src/fleet.rs
@@ -1,8 +1,6 @@
 //! Lays out and runs a whole fleet on this machine's loopback (§9.1).
 use qh_core::Labels;
-use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
 
 /// How big a fleet is.
 #[derive(Clone, Debug, PartialEq)]
@@ -23,7 +21,10 @@
             "small" => (2, 3, 3, 1),
             "scripwell" => (4, 7, 4, 3),
             "lensbridge" => (3, 6, 3, 3),
-            _ => return None,
+            n => match n.strip_prefix("nodes:").and_then(|n| n.parse().ok()) {
+                Some(n @ 1..=64) => (3, n, 3, 1),
+                _ => return None,
+            },
         };
         Some(Shape { name: name.into(), districts, nodes, keepers, groups, copies: 3, port })
     }
@@ -136,6 +137,7 @@
             peers.iter().for_each(|p| args.extend(["--peer".into(), p.clone()]));
             desks.iter().for_each(|p| args.extend(["--desk".into(), p.clone()]));
             args.extend(["--data".into(), dir.join("servers").display().to_string()]);
+            args.extend(["--relay".into(), next()]);
             procs.push(Proc { name: name.clone(), exe: "qhlab".into(), again: args.clone(), args });
             servers.push(ServerAt { name, group: group.clone(), addr: addr.clone() });
         }
@@ -145,8 +147,16 @@
     procs.push(Proc { name: "platform".into(), exe: "qhlab".into(), again: args.clone(), args });
     let blueprint = dir.join("blueprint.toml");
     std::fs::write(&blueprint, blueprint_of(shape))?;
-    let nodes = nodes.into_iter().map(|(n, _)| n).collect();
-    Ok(Plan { dir: dir.into(), shape: shape.clone(), procs, nodes, keepers, servers, platform, blueprint })
+    Ok(Plan {
+        dir: dir.into(),
+        shape: shape.clone(),
+        procs,
+        nodes: nodes.into_iter().map(|(n, _)| n).collect(),
+        keepers,
+        servers,
+        platform,
+        blueprint,
+    })
 }
 
 /// One placement a group; orders and lookups choose by the visit's `db` label.
@@ -166,82 +176,6 @@
     t
 }
 
-/// Running processes, ended by id when dropped.
-pub struct Running {
-    pub plan: Plan,
-    pub kids: BTreeMap<String, Child>,
-    bin: PathBuf,
-}
-
-impl Running {
-    pub fn start(plan: Plan) -> std::io::Result<Running> {
-        let bin = std::env::current_exe()?.parent().map(Path::to_path_buf).unwrap_or_default();
-        let mut r = Running { plan, kids: BTreeMap::new(), bin };
-        for p in r.plan.procs.clone() {
-            r.spawn(&p.name, false)?;
-        }
-        Ok(r)
-    }
-    /// Starts one process, with what it needs when it is not its first time.
-    pub fn spawn(&mut self, name: &str, again: bool) -> std::io::Result<()> {
-        let p = self.plan.procs.iter().find(|p| p.name == name).cloned();
-        let p = p.ok_or_else(|| std::io::Error::other(format!("no process is called {name}")))?;
-        let log = std::fs::OpenOptions::new()
-            .create(true)
-            .append(true)
-            .open(self.plan.dir.join(format!("{name}.log")))?;
-        let kid = Command::new(self.bin.join(&p.exe))
-            .args(if again { &p.again } else { &p.args })
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log)
-            .spawn()?;
-        self.kids.insert(name.into(), kid);
-        Ok(())
-    }
-    pub fn pid(&self, name: &str) -> Option<u32> {
-        self.kids.get(name).map(Child::id)
-    }
-    /// Sends a signal by name to one process this runner started.
-    pub fn signal(&self, name: &str, sig: &str) {
-        if let Some(pid) = self.pid(name) {
-            let _ = Command::new("kill").args([&format!("-{sig}"), &pid.to_string()]).status();
-        }
-    }
-    pub fn kill(&mut self, name: &str) {
-        if let Some(mut k) = self.kids.remove(name) {
-            let _ = k.kill();
-            let _ = k.wait();
-        }
-    }
-    /// Asks a process to stop and waits a bounded time for it. True when it ended in order.
-    pub fn stop(&mut self, name: &str, within: std::time::Duration) -> bool {
-        self.signal(name, "TERM");
-        let Some(mut k) = self.kids.remove(name) else { return false };
-        let until = std::time::Instant::now() + within;
-        while std::time::Instant::now() < until {
-            if let Ok(Some(st)) = k.try_wait() {
-                return st.success();
-            }
-            std::thread::sleep(std::time::Duration::from_millis(20));
-        }
-        let _ = k.kill();
-        let _ = k.wait();
-        false
-    }
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        for k in self.kids.values_mut() {
-            let _ = k.kill();
-        }
-        for k in self.kids.values_mut() {
-            let _ = k.wait();
-        }
-    }
-}
-
 pub fn labels(pairs: &[String]) -> Labels {
     pairs.iter().filter_map(|p| p.split_once('=')).map(|(k, v)| (k.into(), v.into())).collect()
 }
--- a/crates/qh-lab/src/lib.rs
+++ b/crates/qh-lab/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod history;
 pub mod load;
 pub mod platform;
+pub mod relay;
+pub mod running;
 pub mod scenario;
 pub mod script;
 pub mod sim;
--- a/crates/qh-lab/src/scenario.rs
+++ b/crates/qh-lab/src/scenario.rs
@@ -1,8 +1,9 @@
 //! Runs callers and a script of faults against a real fleet, then asks whether a must-never happened (§9.4).
 use crate::aftermath::{facts, settle};
-use crate::fleet::{Plan, Running, TOKEN};
+use crate::fleet::{Plan, TOKEN};
 use crate::history::{PushRow, check, gap_after};
 use crate::load::{Caller, World};
+use crate::running::Running;
 use crate::script::{Act, Step, Who, broken, marked};
 use qh_core::http::{Call, once, post};
 use qh_core::now;
--- a/crates/qh-lab/src/script.rs
+++ b/crates/qh-lab/src/script.rs
@@ -79,6 +79,11 @@
     "pushes",
     "mixed",
     "lag-and-kill",
+    "lead-in-a-hole",
+    "replica-in-a-hole",
+    "lossy",
+    "cut-links",
+    "replica-leaves",
 ];
 
 /// The script of a scenario; times are from the start of the load.
@@ -115,6 +120,24 @@
             step(3_000, rep(), wish(|w| w.dark = Some(true)), "r"),
             step(12_000, same("r"), wish(|w| w.dark = Some(false)), "r"),
         ],
+        "lead-in-a-hole" => vec![
+            last(step(3_000, lead(), wish(|w| w.hole = Some(true)), "lead")),
+            step(15_000, same("lead"), wish(|w| w.hole = Some(false)), "lead"),
+        ],
+        "replica-in-a-hole" => vec![
+            step(3_000, rep(), wish(|w| w.hole = Some(true)), "r"),
+            step(12_000, same("r"), wish(|w| w.hole = Some(false)), "r"),
+        ],
+        "lossy" => ["g1s1", "g1s2", "g1s3"]
+            .iter()
+            .map(|s| step(2_000, name(s), wish(|w| (w.drop_pm, w.delay_ms) = (Some(40), Some(5))), "x"))
+            .collect(),
+        "cut-links" => (1..6).map(|i| step(i * 2_000, lead(), wish(|w| w.cut = Some(true)), "x")).collect(),
+        "replica-leaves" => vec![
+            step(3_000, rep(), Act::Leave, "r"),
+            step(12_000, same("r"), Act::Kill, "r"),
+            step(13_000, same("r"), Act::Start, "r"),
+        ],
         "replica-killed" => {
             vec![step(3_000, rep(), Act::Kill, "r"), step(9_000, same("r"), Act::Start, "r")]
         }
--- a/crates/qh-lab/src/stand/faults.rs
+++ b/crates/qh-lab/src/stand/faults.rs
@@ -23,6 +23,14 @@
     pub deaf: Option<bool>,
     /// Replication lags this much.
     pub lag_ms: Option<u64>,
+    /// The relay swallows everything, both ways.
+    pub hole: Option<bool>,
+    /// The relay loses so many of a thousand chunks.
+    pub drop_pm: Option<u64>,
+    /// The relay holds each chunk so long.
+    pub delay_ms: Option<u64>,
+    /// The relay resets every link once.
+    pub cut: Option<bool>,
     /// A success without stamp or rows, so many times (checker's own test).
     pub forge: Option<u64>,
 }
@@ -37,6 +45,10 @@
     pub lose: AtomicU64,
     pub forge: AtomicU64,
     pub reset_no: AtomicU64,
+    pub hole: AtomicBool,
+    pub drop_pm: AtomicU64,
+    pub delay_ms: AtomicU64,
+    pub cut_no: AtomicU64,
     pub changed: Notify,
     lock: Mutex<()>,
 }
@@ -53,6 +65,12 @@
         num(&self.lag_ms, w.lag_ms);
         num(&self.lose, w.lose_answers);
         num(&self.forge, w.forge);
+        flag(&self.hole, w.hole);
+        num(&self.drop_pm, w.drop_pm);
+        num(&self.delay_ms, w.delay_ms);
+        if w.cut == Some(true) {
+            self.cut_no.fetch_add(1, Ordering::SeqCst);
+        }
         if w.reset == Some(true) {
             self.reset_no.fetch_add(1, Ordering::SeqCst);
         }
--- a/crates/qh-lab/src/stand/mod.rs
+++ b/crates/qh-lab/src/stand/mod.rs
@@ -22,7 +22,7 @@
     /// Desks of nodes to beat to.
     pub desks: Vec<String>,
     pub data: Option<std::path::PathBuf>,
-    /// Address told to nodes, when a relay stands before this server.
+    /// Where a relay stands before this server: the address told to nodes.
     pub shown: Option<String>,
 }
 
@@ -39,7 +39,7 @@
     pub args: Args,
     pub db: Mutex<Db>,
     pub moved: tokio::sync::Notify,
-    pub faults: Faults,
+    pub faults: Arc<Faults>,
     pub state: Mutex<(State, u64)>,
     pub journal: Mutex<Vec<Ran>>,
     pub late_work: AtomicU64,
@@ -69,7 +69,7 @@
             args,
             db: Mutex::new(db),
             moved: tokio::sync::Notify::new(),
-            faults: Faults::default(),
+            faults: Arc::default(),
             state: Mutex::new((State::Up, 0)),
             journal: Mutex::default(),
             late_work: AtomicU64::new(0),
@@ -154,6 +154,9 @@
     let lst = tokio::net::TcpListener::bind(&args.addr).await?;
     let s = Stand::open(args)?;
     log::info!(target: "stand", "server {} listens on {}", s.args.name, s.args.addr);
+    if let Some(at) = &s.args.shown {
+        crate::relay::run(at, s.args.addr.clone(), s.faults.clone()).await?;
+    }
     tokio::spawn(repl::follow(s.clone()));
     tokio::spawn(repl::beats(s.clone()));
     net::serve(s, lst).await
--- a/crates/qhlab/src/args.rs
+++ b/crates/qhlab/src/args.rs
@@ -3,15 +3,18 @@
 
 const HELP: &str = "qhlab: the lab of quincehatch
 
-usage: qhlab fleet up [--shape thin|small|scripwell|lensbridge] [--dir DIR] [--port N]
+usage: qhlab fleet up [--shape thin|small|scripwell|lensbridge|nodes:N] [--dir DIR] [--port N]
        qhlab try [--scenario NAME|all] [--shape ...] [--seconds N] [--callers N] [--pause-ms N] [--seed N]
        qhlab sim [--seeds N] [--from SEED] [--keepers N] [--nodes N] [--bug NAME]
+       qhlab bench front|judges|push|mesh|long|all-bad|faults [--rounds N] [--shape ...]
        qhlab stand --name NAME --addr IP:PORT [--label K=V] [--peer IP:PORT] [--desk IP:PORT] [--data DIR]
+                   [--relay IP:PORT]
        qhlab platform --addr IP:PORT --door DISTRICT=IP:PORT ...
 
   fleet up    starts a whole fleet on loopback, pushes a blueprint, and runs until Enter or a signal
   try         starts a fleet, runs callers and a script of faults, and checks that no must-never happened
   sim         the seeded simulator; a failing seed replays exactly with --from SEED --seeds 1
+  bench       measures: ratios, counts, pairs in turn; median and spread
   stand       one stand-in database server
   platform    the platform's stand-in
 
@@ -20,6 +23,7 @@
 
 pub enum Cmd {
     Sim(Sim),
+    Bench(Up, String, usize),
     Try(Up, qh_lab::scenario::Opts),
     Stand(stand::Args),
     Platform { addr: String, doors: Vec<(String, String)> },
@@ -74,7 +78,7 @@
 }
 
 const FLAGS: &[&str] = &[
-    "shape", "dir", "port", "name", "addr", "label", "peer", "desk", "data", "shown", "door", "scenario",
+    "shape", "dir", "port", "name", "addr", "label", "peer", "desk", "data", "relay", "door", "scenario",
     "seconds", "callers", "pause-ms", "seed", "seeds", "from", "keepers", "nodes", "bug",
 ];
 
@@ -110,7 +114,7 @@
             peers: b.all("peer"),
             desks: b.all("desk"),
             data: b.one("data").map(Into::into),
-            shown: b.one("shown"),
+            shown: b.one("relay"),
         }))),
         ["platform"] => {
             let doors = b.all("door");
@@ -126,6 +130,7 @@
             nodes: b.num("nodes", 5)?,
             bug: b.one("bug"),
         }))),
+        ["bench", what] => Ok(Some(Cmd::Bench(up(&b)?, (*what).to_owned(), b.num("rounds", 5)?))),
         ["try"] => {
             let o = qh_lab::scenario::Opts {
                 scenario: b.one("scenario").unwrap_or_else(|| "mixed".into()),
--- a/crates/qhlab/src/main.rs
+++ b/crates/qhlab/src/main.rs
@@ -1,5 +1,7 @@
 //! qhlab: stand-ins, a whole fleet on one machine, load, faults, checks (§9).
 mod args;
+mod bench;
+mod bench_fleet;
 mod simulate;
 mod up;
 
@@ -29,6 +31,7 @@
                 platform::run(&addr, doors).await.map_err(|e| e.to_string())
             }
             args::Cmd::Up(u) => up::run(u).await,
+            args::Cmd::Bench(u, what, n) => bench::run(u, &what, n).await,
             args::Cmd::Sim(s) => simulate::run(&s),
             args::Cmd::Try(u, o) => up::tried(u, o).await,
         }
--- a/crates/qhlab/src/up.rs
+++ b/crates/qhlab/src/up.rs
@@ -1,7 +1,8 @@
 //! `qhlab fleet up`: a fleet to try things on (§9.1).
 use crate::args::Up;
 use qh_core::http::{Call, once};
-use qh_lab::fleet::{Plan, Running, Shape, TOKEN, plan};
+use qh_lab::fleet::{Plan, Shape, TOKEN, plan};
+use qh_lab::running::Running;
 use serde_json::{Value, json};
 use std::time::{Duration, Instant};
 
