--- a/crates/qh-data/src/board.rs
+++ b/crates/qh-data/src/board.rs
@@ -1,5 +1,6 @@
 //! The blackboard (§2.7): controllers write what they know, everyone reads. Shards, each under its own lock.
 use crate::fresh::Seen;
+use crate::newest::{Newest, Numbered};
 use crate::pool::Pool;
 use crate::verdict::Health;
 use qh_core::blueprint::{Blueprint, Placement};
@@ -21,6 +22,12 @@
     pub leads: BTreeMap<Name, Lead>,
 }
 
+impl Numbered for Plan {
+    fn newer_or_same(&self, than: &Self) -> bool {
+        self.n >= than.n && self.edition >= than.edition
+    }
+}
+
 /// All this node holds on one server.
 pub struct ServerRow {
     pub ix: Ix,
@@ -46,7 +53,7 @@
 pub struct Board {
     names: RwLock<Names>,
     rows: RwLock<Vec<Arc<ServerRow>>>,
-    plan: RwLock<Arc<Plan>>,
+    plan: Newest<Plan>,
     seen: Mutex<BTreeMap<Name, Seen>>,
     /// The lease holds until then on the local clock.
     lease_until: AtomicU64,
@@ -60,7 +67,7 @@
         Self {
             names: RwLock::default(),
             rows: RwLock::default(),
-            plan: RwLock::default(),
+            plan: Newest::new(Plan::default()),
             seen: Mutex::default(),
             lease_until: AtomicU64::new(0),
             stopping: false.into(),
@@ -71,27 +78,21 @@
 
 impl Board {
     pub fn plan(&self) -> Arc<Plan> {
-        self.plan.read().unwrap().clone()
+        self.plan.get()
     }
     /// Takes a plan; one with an older number is not taken (§1 N10).
     pub fn set_plan(&self, p: Plan) -> bool {
-        let mut cur = self.plan.write().unwrap();
-        if p.n < cur.n || p.edition < cur.edition {
-            return false;
-        }
-        for (g, l) in &p.leads {
-            if cur.leads.get(g) != Some(l) {
+        self.plan.set(p, |old, new| {
+            for (g, l) in new.leads.iter().filter(|(g, l)| old.leads.get(*g) != Some(*l)) {
                 self.seen.lock().unwrap().remove(g);
                 if let Some(r) = l.server.as_ref().and_then(|s| self.row(s)) {
                     r.health.lock().unwrap().named(now());
                 }
             }
-        }
-        *cur = Arc::new(p);
-        true
+        })
     }
     pub fn lead(&self, group: &str) -> Option<Lead> {
-        self.plan.read().unwrap().leads.get(group).cloned()
+        self.plan.get().leads.get(group).cloned()
     }
     pub fn renew_lease(&self, until: Ms) {
         self.lease_until.fetch_max(until, Ordering::SeqCst);
--- /dev/null
+++ b/crates/qh-data/src/platform.rs
@@ -0,0 +1,26 @@
+//! The wire shapes of the platform, all in this one module (§3.4, docs/server.md).
+use qh_core::{Fence, Name};
+use serde_json::{Value, json};
+
+/// Asks the platform to have `server` lead its group under `fence`.
+pub fn promote(group: &str, server: &str, addr: &Name, fence: Fence, node: &str) -> (&'static str, Value) {
+    ("/v1/promote", json!({"group": group, "server": server, "addr": addr, "fence": fence, "node": node}))
+}
+
+/// What the platform's answer to a promotion means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Promoted {
+    Done,
+    /// A higher fence is out, or this one named another server.
+    Overtaken,
+    /// Not known: the server may have been promoted all the same.
+    InDoubt,
+}
+
+pub fn promoted(status: Option<u16>) -> Promoted {
+    match status {
+        Some(200) => Promoted::Done,
+        Some(409) => Promoted::Overtaken,
+        _ => Promoted::InDoubt,
+    }
+}
--- a/crates/qh-data/tests/loom.rs
+++ b/crates/qh-data/tests/loom.rs
@@ -2,6 +2,7 @@
 #![cfg(qh_loom)]
 use loom::sync::Arc;
 use loom::thread;
+use qh_data::newest::{Newest, Numbered};
 use qh_data::shard::{Grant, Shard, Use};
 
 fn take(s: &Shard<u32>, u: Use, cap: usize, share: usize) -> Option<u32> {
@@ -72,3 +73,29 @@
         assert!(take(&s, Use::Order, 2, 1).is_none());
     });
 }
+
+struct N(u64);
+impl Numbered for N {
+    fn newer_or_same(&self, than: &Self) -> bool {
+        self.0 >= than.0
+    }
+}
+
+#[test]
+fn the_blackboard_never_goes_back() {
+    loom::model(|| {
+        let b = Arc::new(Newest::new(N(1)));
+        let writers: Vec<_> = [3, 2]
+            .into_iter()
+            .map(|n| {
+                let b = b.clone();
+                thread::spawn(move || b.set(N(n), |_, _| ()))
+            })
+            .collect();
+        let first = b.get().0;
+        let then = b.get().0;
+        assert!(then >= first);
+        writers.into_iter().for_each(|w| drop(w.join()));
+        assert_eq!(b.get().0, 3);
+    });
+}
--- /dev/null
+++ b/crates/qh-state/tests/disk.rs
@@ -0,0 +1,104 @@
+//! The keeper's data folder (§5.7): what it keeps, and what it declines to serve from.
+use qh_core::Code;
+use qh_state::disk::Disk;
+use qh_state::keeper::Rec;
+use qh_state::{Cmd, Entry, View};
+use std::path::PathBuf;
+
+struct Dir(PathBuf);
+
+impl Dir {
+    fn new(name: &str) -> Dir {
+        let d = std::env::temp_dir().join(format!("qh-disk-{name}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&d);
+        Dir(d)
+    }
+    fn file(&self) -> PathBuf {
+        self.0.join("keeper.redb")
+    }
+}
+impl Drop for Dir {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn view() -> View {
+    View { edition: 1, members: vec!["k1".into()], machines: vec![] }
+}
+
+fn entry(n: u64) -> Entry {
+    let cmd = Cmd::Push { base: n - 1, text: format!("text {n}"), by: "t".into() };
+    Entry { n, key: format!("key{n}").into(), cmd }
+}
+
+/// A folder with three entries in it.
+fn filled(d: &Dir) {
+    let (mut disk, _) = Disk::open(&d.0, "k1", Some(view())).unwrap();
+    for n in 1..=3 {
+        disk.save(&[Rec::Entry { e: entry(n) }]).unwrap();
+    }
+}
+
+fn declined(d: &Dir, name: &str, first: Option<View>, want: &str) {
+    let b = Disk::open(&d.0, name, first).map(|_| ()).expect_err("it was opened");
+    assert!(b.is(Code::DataFolder) && b.text.contains(want), "{b}");
+}
+
+#[test]
+fn what_was_saved_is_there_again() {
+    let d = Dir::new("again");
+    filled(&d);
+    let (mut disk, f) = Disk::open(&d.0, "k1", None).unwrap();
+    assert_eq!((f.view, f.store.edition(), f.log.len()), (view(), 3, 3));
+    let mut store = f.store.clone();
+    for n in 4..=400 {
+        disk.save(&[Rec::Entry { e: entry(n) }]).unwrap();
+        store.apply(&entry(n)).unwrap();
+        disk.compact(&store).unwrap();
+    }
+    drop(disk);
+    let (_, f) = Disk::open(&d.0, "k1", None).unwrap();
+    assert_eq!(f.store, store);
+}
+
+#[test]
+fn empty_foreign_and_used_folders_are_declined() {
+    let d = Dir::new("declined");
+    declined(&d, "k1", None, "holds no data of a keeper");
+    filled(&d);
+    declined(&d, "k1", Some(view()), "holds data already");
+    declined(&d, "k2", None, "belongs to the keeper \"k1\"");
+}
+
+#[test]
+fn damaged_and_torn_files_are_named_and_not_served_from() {
+    for (what, hurt) in [
+        ("torn", (|b: &mut Vec<u8>| b.truncate(b.len() / 2)) as fn(&mut Vec<u8>)),
+        ("header", |b| b[..64].fill(7)),
+        ("text", |b| {
+            // One byte within a record's own text.
+            let at = b.windows(6).position(|w| w == b"text 2").unwrap();
+            b[at] = b'T';
+        }),
+    ] {
+        let d = Dir::new(what);
+        filled(&d);
+        let mut b = std::fs::read(d.file()).unwrap();
+        let whole = b.clone();
+        // Every copy of the record is hurt: old pages may hold it too.
+        loop {
+            let before = b.clone();
+            if what == "text" && !b.windows(6).any(|w| w == b"text 2") {
+                break;
+            }
+            hurt(&mut b);
+            if what != "text" || b == before {
+                break;
+            }
+        }
+        assert_ne!(b, whole);
+        std::fs::write(d.file(), &b).unwrap();
+        declined(&d, "k1", None, "");
+    }
+}
--- a/crates/qhd/src/groupd.rs
+++ b/crates/qhd/src/groupd.rs
@@ -3,9 +3,9 @@
 use qh_control::promotion::{In, Out, Plan, Promotion};
 use qh_core::http::post;
 use qh_core::{Code, Fence, Name, now};
+use qh_data::platform::{self, Promoted};
 use qh_state::store::duty_of;
 use qh_state::{Answer, Cmd};
-use serde_json::json;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -100,11 +100,11 @@
 
 async fn promote_one(f: &Fleet, plan: &Plan, server: Name, fence: Fence) -> In {
     let Some(row) = f.node.board.row(&server) else { return In::NotPromoted(server) };
-    let body =
-        json!({"group": plan.group, "server": server, "addr": row.addr(), "fence": fence, "node": plan.by});
-    match post(&f.node.set.platform, "/v1/promote", &body, CALL).await {
-        Ok((200, _)) => In::Promoted(server),
-        Ok((409, _)) => In::Overtaken,
-        _ => In::NotPromoted(server),
+    let (path, body) = platform::promote(&plan.group, &server, &row.addr(), fence, &plan.by);
+    let status = post(&f.node.set.platform, path, &body, CALL).await.ok().map(|r| r.0);
+    match platform::promoted(status) {
+        Promoted::Done => In::Promoted(server),
+        Promoted::Overtaken => In::Overtaken,
+        Promoted::InDoubt => In::NotPromoted(server),
     }
 }
