A lead's stall is told to whoever looks after its group; nodes without visits there abstain

Cause: with callers bound to their district's group, two of six nodes carried a group's visits. The duty's owner was not among them and saw no stall, and the others' silence counted against it.

--- a/crates/qh-data/src/judge.rs
+++ b/crates/qh-data/src/judge.rs
@@ -83,6 +83,10 @@
     pub fn gone(&mut self, id: u64) {
         self.owed.remove(&id);
     }
+    /// Was anything answered within the last `ms`?
+    pub fn answered_within(&self, now: Ms, ms: Ms) -> bool {
+        self.last_answer > 0 && now < self.last_answer + ms
+    }
     pub fn owing(&self) -> usize {
         self.owed.len()
     }
--- a/crates/qh-lab/src/load.rs
+++ b/crates/qh-lab/src/load.rs
@@ -14,6 +14,7 @@
     pub platform: String,
     pub groups: usize,
     pub districts: usize,
+    pub affine: bool,
     /// Time between two calls of one caller, in the mean.
     pub pause_ms: u64,
     pub lookup_ms: u64,
@@ -38,7 +39,9 @@
 
 impl Caller {
     pub fn new(w: Arc<World>, id: usize, seed: u64) -> Self {
-        let district = format!("d{}", id % w.districts + 1);
+        // Where callers keep to their district's group, only its nodes see what that group's servers do.
+        let place = if w.affine { id } else { id / w.groups };
+        let district = format!("d{}", place % w.districts + 1);
         Self { w, id, rng: Rng::new(seed ^ (id as u64) << 20), district, wire: None, session: None, n: 0 }
     }
     pub fn mark(&self) -> String {
--- a/crates/qh-lab/src/scenario.rs
+++ b/crates/qh-lab/src/scenario.rs
@@ -162,6 +162,7 @@
         platform: r.plan.platform.clone(),
         groups: r.plan.shape.groups,
         districts: r.plan.shape.districts,
+        affine: r.plan.shape.name == "lensbridge",
         pause_ms: o.pause_ms,
         lookup_ms: if r.plan.shape.name == "lensbridge" { 5_000 } else { 3_000 },
         orders_pm: 690,
--- a/crates/qh-lab/src/sim/node.rs
+++ b/crates/qh-lab/src/sim/node.rs
@@ -169,15 +169,15 @@
             Msg::Letter(l) => self.letter(w, me, now, l),
             Msg::Beat(b) => self.beat(b),
             Msg::Sees(rid, server) => {
-                let r = self.rows.get(&server);
-                let failing = r.is_some_and(|r| r.failing.is_some() || r.health.stalled(now));
-                w.send(me, from, Msg::Seen(rid, r.is_some(), failing));
+                let e = self.eye(&server, now);
+                w.send(me, from, Msg::Seen(rid, e));
             }
-            Msg::Seen(rid, heard, failing) => {
+            Msg::Seen(rid, e) => {
                 if self.pend.remove(&rid).is_some() {
-                    self.duty.seen(heard, failing);
+                    self.duty.seen(e);
                 }
             }
+            Msg::Suspect(server) => self.duty.suspect = Some((server, now)),
             _ => {}
         }
     }
--- a/crates/qh-lab/src/sim/node_news.rs
+++ b/crates/qh-lab/src/sim/node_news.rs
@@ -1,6 +1,6 @@
 //! What a simulated node hears: letters, beats, STATUS (§6, §4.8).
 use super::node::{NodeProc, Pend};
-use super::server::SrvRep;
+use super::server::{SrvCall, SrvRep};
 use super::world::{Msg, Pid, World};
 use qh_core::{Beat, Ms, Name, Role, State};
 use qh_mesh::Letter;
@@ -102,4 +102,25 @@
         row.failing = row.failing.or(Some(asked));
         row.declined = declined;
     }
+
+    /// Servers that have not heard of the fence in force are told.
+    pub(super) fn stragglers(&mut self, w: &mut World, me: Pid, now: Ms) {
+        let Some(lead) = self.duty.lead.clone().filter(|l| l.server.is_some()) else { return };
+        if now < self.duty.fenced + 1_000 {
+            return;
+        }
+        self.duty.fenced = now;
+        let low: Vec<Name> = self
+            .rows
+            .iter()
+            .filter(|(n, r)| {
+                r.beat.fence < lead.fence && r.failing.is_none() && Some(*n) != lead.server.as_ref()
+            })
+            .map(|(n, _)| n.clone())
+            .collect();
+        for n in low {
+            let fence = lead.fence;
+            self.ask(w, me, &n, now + 500, Pend::Sees, |r| Msg::Call(r, SrvCall::Fence(fence)));
+        }
+    }
 }
--- a/crates/qh-lab/src/sim/world.rs
+++ b/crates/qh-lab/src/sim/world.rs
@@ -7,6 +7,7 @@
 use super::platform::Platform;
 use super::server::{ServerProc, SrvCall, SrvRep};
 use crate::db::{Pull, Pulled};
+use qh_control::watch::Eye;
 use qh_core::rng::Rng;
 use qh_core::{Beat, Ms, Name};
 use qh_mesh::Letter;
@@ -28,7 +29,8 @@
     Letter(Letter),
     Beat(Beat),
     Sees(u64, Name),
-    Seen(u64, bool, bool),
+    Seen(u64, Eye),
+    Suspect(Name),
     Promote {
         rid: u64,
         group: Name,
--- a/crates/qh-lab/tests/kit/mod.rs
+++ b/crates/qh-lab/tests/kit/mod.rs
@@ -3,7 +3,7 @@
 use qh_core::settings::NodeSettings;
 use qh_core::{Lead, now};
 use qh_data::board::Plan;
-use qh_data::judge::Ending;
+use qh_data::judge::{Ending, Sign};
 use qh_data::node::Alone;
 use qh_data::verdict::Verdict;
 use qh_data::{Node, probe};
@@ -127,6 +127,12 @@
     pub fn verdict(&self, server: &str) -> Verdict {
         self.node.board.row(server).unwrap().health.lock().unwrap().verdict
     }
+    /// The signs that made the last turn.
+    pub fn signs(&self, server: &str) -> Vec<Sign> {
+        let row = self.node.board.row(server).unwrap();
+        let h = row.health.lock().unwrap();
+        h.turns.back().map(|t| t.evidence.iter().map(|e| e.sign).collect()).unwrap_or_default()
+    }
     pub fn leaving(&self, server: &str) -> bool {
         self.node.board.row(server).unwrap().leaving()
     }
--- a/crates/qh-lab/tests/node.rs
+++ b/crates/qh-lab/tests/node.rs
@@ -1,6 +1,7 @@
 //! A node before stand-ins, in one process: what the data plane promises when servers misbehave (§4).
 mod kit;
 use kit::{Kit, body};
+use qh_data::judge::Sign;
 use qh_data::verdict::Verdict;
 use serde_json::json;
 
@@ -29,6 +30,9 @@
     let late = k.post("/v1/order", body("t9", "append l $1", json!(["t9"]))).await;
     assert_eq!(late["error"]["code"], 1407);
     assert!(k.value("l").is_null());
+    k.lease_ms(0);
+    let v = k.post("/v1/outcome", json!({"try": "t9", "labels": {"db": "g1"}, "seal": true})).await;
+    assert_eq!((&v["end"], &v["error"]["code"]), (&json!("unknown"), &json!(1502)), "{v}");
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -143,6 +147,7 @@
         assert_ne!(v["where"]["server"], "s2", "a stalled server answered: {v}");
     }
     k.until("s2 to be set aside", || k.verdict("s2") == Verdict::SetAside).await;
+    assert!(k.signs("s2").contains(&Sign::Stall), "{:?}", k.signs("s2"));
     assert!(k.status_answers("s2"), "STATUS answers all along");
 }
 
--- a/crates/qh-mesh/src/msgs.rs
+++ b/crates/qh-mesh/src/msgs.rs
@@ -1,5 +1,5 @@
 //! Messages between nodes (§6).
-use qh_core::{Beat, Edition, Ms, Name, messages};
+use qh_core::{Beat, Edition, Name, messages};
 use qh_data::session::Context;
 
 messages! {
@@ -33,6 +33,8 @@
         Range { from: Name, range: u8, have: Vec<(Name, Edition)> },
         /// What do you see of this server?
         Sees { server: Name },
+        /// A group's lead stalls, as seen from here: told to whoever looks after the group.
+        Suspect { group: Name, server: Name },
         /// The node's report for operators, as JSON.
         Report { what: Name, key: Name }
     }
@@ -44,7 +46,7 @@
         Differ { ranges: Vec<u8> },
         /// Contexts newer here, and ids of which the asker has the newer.
         Mend { newer: Vec<Context>, want: Vec<Name> },
-        Sees { failing_ms: Option<Ms>, aside: bool, heard: bool },
+        Sees { heard: bool, failing: bool, stalled: bool, answering: bool },
         Report { json: String }
     }
 
--- a/crates/qhd/src/dutyd.rs
+++ b/crates/qhd/src/dutyd.rs
@@ -1,6 +1,6 @@
 //! Duties of this node (§6.3): looks after the leads of the groups that fall to it.
 use crate::{Fleet, groupd};
-use qh_control::watch::{Need, Sight, confirmed, need};
+use qh_control::watch::{Count, Eye, Need, Sight, dead, need};
 use qh_core::{Lead, Ms, Name, State, now};
 use qh_mesh::{NodeAsk, NodeRep};
 use qh_state::store::duty_of;
@@ -12,6 +12,8 @@
 #[derive(Default)]
 pub struct Asked {
     pub wants: Mutex<BTreeMap<Name, Option<Name>>>,
+    /// Leads that other nodes said stall, and when.
+    pub suspects: Mutex<BTreeMap<Name, (Name, Ms)>>,
     /// The last promotions, newest last, for `qh explain`.
     pub told: Mutex<Vec<String>>,
 }
@@ -27,6 +29,11 @@
     }
 }
 
+/// How long another node's suspicion is looked into, and how often it is told.
+const SUSPECT: Ms = 3_000;
+const TELL: Ms = 500;
+/// Statements answered within this time speak against a stall.
+const ANSWERING: Ms = 2_000;
 /// A promotion is not begun again sooner.
 const REST: Ms = 3_000;
 
@@ -38,6 +45,21 @@
     rest_until: Ms,
     task: Option<tokio::task::JoinHandle<()>>,
     fenced_at: Ms,
+    told_at: Ms,
+}
+
+/// What this node sees of a server.
+pub fn eye(f: &Fleet, server: &str) -> Eye {
+    f.node.board.row(server).map_or_else(Eye::default, |r| {
+        let failing = r.status.lock().unwrap().failing.is_some();
+        let h = r.health.lock().unwrap();
+        Eye {
+            heard: true,
+            failing,
+            stalled: h.stalled(now()),
+            answering: h.overdue.answered_within(now(), ANSWERING),
+        }
+    })
 }
 
 pub async fn run(f: Arc<Fleet>) {
@@ -56,7 +78,11 @@
             if st.lead != lead || st.since == 0 {
                 (st.lead, st.since) = (lead, now());
             }
-            if qh_mesh::duty::owner(&duty_of(&g), &live) != Some(&f.mesh.me) {
+            let owner = qh_mesh::duty::owner(&duty_of(&g), &live);
+            if owner != Some(&f.mesh.me) {
+                if let Some(o) = owner {
+                    suspect(&f, &g, o, st);
+                }
                 continue;
             }
             if st.task.as_ref().is_some_and(|t| !t.is_finished()) {
@@ -70,6 +96,17 @@
     }
 }
 
+/// A lead that stalls is told to whoever looks after its group, who may have no visits there.
+fn suspect(f: &Arc<Fleet>, g: &Name, owner: &Name, st: &mut Group) {
+    let Some(server) = st.lead.as_ref().and_then(|l| l.server.clone()) else { return };
+    if now() < st.told_at + TELL || !eye(f, &server).stalled {
+        return;
+    }
+    st.told_at = now();
+    let (f, ask, owner) = (f.clone(), NodeAsk::Suspect { group: g.clone(), server }, owner.clone());
+    tokio::spawn(async move { f.mesh.ask(&owner, ask).await });
+}
+
 fn sight(f: &Fleet, g: &Name, st: &mut Group) -> Sight {
     let rows: Vec<_> = f.node.board.rows().into_iter().filter(|r| r.group() == *g).collect();
     let copies = rows
@@ -94,7 +131,9 @@
     s.failing = status.failing.map(|at| now().saturating_sub(at));
     s.declined = status.declined;
     s.leaving = row.leaving();
-    s.aside = row.health.lock().unwrap().stalled(now());
+    let told = f.duty.suspects.lock().unwrap().get(g).cloned();
+    let told = told.is_some_and(|(s, at)| s == row.name && now() < at + SUSPECT);
+    s.aside = told || row.health.lock().unwrap().stalled(now());
     let b = row.beat.read().unwrap().clone();
     let leads = b.role == qh_core::Role::Primary && b.fence == fence && b.state != State::Starting;
     let wrong_now = !leads && status.failing.is_none() && status.answered > 0;
@@ -138,21 +177,14 @@
 async fn others_agree(f: &Arc<Fleet>, s: &Sight) -> bool {
     let Some(server) = s.lead.as_ref().and_then(|l| l.server.clone()) else { return false };
     let others: Vec<Name> = f.mesh.live().into_iter().map(|(n, _)| n).filter(|n| *n != f.mesh.me).collect();
-    let n = others.len();
-    let got = f.mesh.ask_all(others, NodeAsk::Sees { server }).await;
-    let (mut agree, mut disagree) = (0, 0);
-    for (_, r) in got {
-        match r {
-            Some(NodeRep::Sees { heard: true, failing_ms, aside })
-                if failing_ms.is_some() || (s.aside && aside) =>
-            {
-                agree += 1;
-            }
-            Some(NodeRep::Sees { heard: true, .. }) => disagree += 1,
-            _ => {}
+    let dead = dead(s);
+    let mut c = Count::begin(dead, eye(f, &server), others.len());
+    for (_, r) in f.mesh.ask_all(others, NodeAsk::Sees { server }).await {
+        if let Some(NodeRep::Sees { heard, failing, stalled, answering }) = r {
+            c.add(dead, Eye { heard, failing, stalled, answering });
         }
     }
-    confirmed(agree, disagree, n)
+    c.confirmed()
 }
 
 /// Servers that have not heard of the fence in force are told: an old primary that returns leads no more.
--- a/crates/qhd/src/meshd.rs
+++ b/crates/qhd/src/meshd.rs
@@ -159,11 +159,12 @@
             NodeRep::Mend { newer, want }
         }
         NodeAsk::Sees { server } => {
-            let row = f.node.board.row(&server);
-            let heard = row.is_some();
-            let st = row.as_ref().map(|r| r.status.lock().unwrap().clone()).unwrap_or_default();
-            let aside = row.is_some_and(|r| r.health.lock().unwrap().stalled(now()));
-            NodeRep::Sees { failing_ms: st.failing.map(|at| now().saturating_sub(at)), aside, heard }
+            let e = crate::dutyd::eye(f, &server);
+            NodeRep::Sees { heard: e.heard, failing: e.failing, stalled: e.stalled, answering: e.answering }
+        }
+        NodeAsk::Suspect { group, server } => {
+            f.duty.suspects.lock().unwrap().insert(group, (server, now()));
+            NodeRep::Done
         }
         NodeAsk::Report { what, key } => {
             drop(t);
