--- a/crates/qh-core/src/blueprint.rs
+++ b/crates/qh-core/src/blueprint.rs
@@ -130,8 +130,15 @@
     pub fn placement(&self, name: &str) -> Option<&Placement> {
         self.placements.iter().find(|p| p.name == name)
     }
-    /// Reads TOML or JSON (by its first sign) and checks the whole; every mistake is listed (§7.3).
+    /// Reads TOML, JSON or Kubernetes-style objects and checks the whole; every mistake is listed (§7.3).
     pub fn read(text: &str) -> Result<Blueprint, Breakdown> {
+        if crate::objects::are_objects(text) {
+            return crate::objects::to_json(text).and_then(|t| Blueprint::read_plain(&t));
+        }
+        Blueprint::read_plain(text)
+    }
+
+    fn read_plain(text: &str) -> Result<Blueprint, Breakdown> {
         let json = text.trim_start().starts_with('{');
         let invalid = |e: &dyn std::fmt::Display| Code::BlueprintInvalid.because(e);
         let bp = ConfigLoader::<Blueprint>::new()
--- a/crates/qh-core/src/lib.rs
+++ b/crates/qh-core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod index;
 pub mod logs;
 pub mod msg;
+pub mod objects;
 pub mod rng;
 pub mod settings;
 pub mod wire;
--- a/crates/qhlab/src/args.rs
+++ b/crates/qhlab/src/args.rs
@@ -80,7 +80,7 @@
 
 const FLAGS: &[&str] = &[
     "shape", "dir", "port", "name", "addr", "label", "peer", "desk", "data", "relay", "door", "scenario",
-    "seconds", "callers", "pause-ms", "seed", "seeds", "from", "keepers", "nodes", "bug",
+    "seconds", "callers", "pause-ms", "seed", "seeds", "from", "keepers", "nodes", "bug", "rounds",
 ];
 
 pub fn read() -> Result<Option<Cmd>, String> {
