--- a/crates/qh-control/src/watch.rs
+++ b/crates/qh-control/src/watch.rs
@@ -5,6 +5,8 @@
 pub const SILENT: Ms = 2_500;
 /// Nobody listens at the server's address this long.
 pub const DECLINED: Ms = 1_000;
+/// A stall that lasts this long is no hiccup of a disk.
+pub const STALLED: Ms = 1_500;
 /// The named server does not lead this long.
 pub const WRONG: Ms = 1_500;
 /// A change of hands that another began stands still this long.
@@ -23,8 +25,8 @@
     pub failing: Option<Ms>,
     /// ... and nobody listened there.
     pub declined: bool,
-    /// The judges set the lead's server aside for a stall.
-    pub aside: bool,
+    /// The lead has stalled for so long, as judged here or told by another.
+    pub stalled: Option<Ms>,
     /// The lead's server says of itself that it does not lead under this fence, for so long.
     pub wrong: Option<Ms>,
     pub leaving: bool,
@@ -51,7 +53,7 @@
     if lead.server.is_none() {
         return if s.lead_for >= STUCK { Need::Now { planned: false } } else { Need::Nothing };
     }
-    if dead(s) || s.aside {
+    if dead(s) || s.stalled.is_some_and(|ms| ms >= STALLED) {
         return Need::Confirm;
     }
     if s.wrong.is_some_and(|ms| ms >= WRONG) {
@@ -145,6 +147,12 @@
         assert!(Count::begin(false, stalled, 3).confirmed());
     }
 
+    #[test]
+    fn a_hiccup_deposes_nobody() {
+        assert_eq!(need(&Sight { stalled: Some(STALLED - 1), ..led() }), Need::Nothing);
+        assert_eq!(need(&Sight { stalled: Some(STALLED), ..led() }), Need::Confirm);
+    }
+
     #[test]
     fn a_minority_of_servers_is_no_ground_to_act() {
         let s = Sight { servers: vec!["a".into()], lead: None, ..led() };
--- a/crates/qh-data/src/judge.rs
+++ b/crates/qh-data/src/judge.rs
@@ -87,6 +87,9 @@
     pub fn answered_within(&self, now: Ms, ms: Ms) -> bool {
         self.last_answer > 0 && now < self.last_answer + ms
     }
+    pub fn answered_since(&self, at: Ms) -> bool {
+        self.last_answer > at
+    }
     pub fn owing(&self) -> usize {
         self.owed.len()
     }
--- a/crates/qh-data/src/verdict.rs
+++ b/crates/qh-data/src/verdict.rs
@@ -30,8 +30,8 @@
     good: u64,
     trying: Option<u64>,
     pub asides: u64,
-    /// When replies were last found owed and overdue; a lead that stalls is known by it (§5.5).
-    pub stalled_at: Option<Ms>,
+    /// When replies were first and last found owed and overdue with no answer since (§5.5).
+    stall: Option<(Ms, Ms)>,
 }
 
 impl Health {
@@ -72,7 +72,7 @@
     pub fn named(&mut self, now: Ms) {
         self.evidence.clear();
         self.trying = None;
-        self.stalled_at = None;
+        self.stall = None;
         if self.verdict != Verdict::InRotation {
             self.turn(now, Verdict::InRotation, "it was named to lead".into());
         }
@@ -87,7 +87,8 @@
             Sign::Late => j.late_weight,
         };
         if matches!(sign, Sign::Stall | Sign::Overdue) {
-            self.stalled_at = Some(now);
+            let first = self.stalled(now).map_or(now, |ms| now - ms);
+            self.stall = Some((first, now));
         }
         while self.evidence.front().is_some_and(|e| e.at + j.evidence_ms < now) {
             self.evidence.pop_front();
@@ -112,9 +113,11 @@
         }
     }
 
-    /// Did it stall lately?
-    pub fn stalled(&self, now: Ms) -> bool {
-        self.stalled_at.is_some_and(|at| now < at + STALLED_FOR)
+    /// For how long has it stalled? Any answer ends a stall.
+    pub fn stalled(&self, now: Ms) -> Option<Ms> {
+        let live =
+            |(first, last): &(Ms, Ms)| now < last + STALLED_FOR && !self.overdue.answered_since(*first);
+        self.stall.filter(live).map(|(first, _)| now - first)
     }
 
     /// Time passes: replies become overdue.
--- a/crates/qh-lab/src/script.rs
+++ b/crates/qh-lab/src/script.rs
@@ -89,6 +89,7 @@
     "crowd",
     "crowd-and-kill",
     "node-slowed",
+    "lead-hiccups",
     "crowd",
     "crowd-and-kill",
     "node-slowed",
@@ -146,6 +147,13 @@
             step(12_000, same("r"), Act::Kill, "r"),
             step(13_000, same("r"), Act::Start, "r"),
         ],
+        "lead-hiccups" => (0..4)
+            .flat_map(|i| {
+                let at = 2_000 + i * 4_000;
+                let stall = |on| wish(|w| w.stall = Some(on));
+                [step(at, lead(), stall(true), "h"), step(at + 1_500, same("h"), stall(false), "h")]
+            })
+            .collect(),
         "crowd" => vec![step(3_000, name("n1"), Act::Crowd, "c"), step(10_000, name("n1"), Act::Crowd, "c")],
         "crowd-and-kill" => vec![
             step(3_000, name("n1"), Act::Crowd, "c"),
--- a/crates/qh-lab/src/sim/node.rs
+++ b/crates/qh-lab/src/sim/node.rs
@@ -177,7 +177,11 @@
                     self.duty.seen(e);
                 }
             }
-            Msg::Suspect(server) => self.duty.suspect = Some((server, now)),
+            Msg::Suspect(server) => {
+                let going =
+                    self.duty.suspect.take().filter(|(s, _, last)| *s == server && now < last + 1_200);
+                self.duty.suspect = Some((server, going.map_or(now, |x| x.1), now));
+            }
             _ => {}
         }
     }
--- a/crates/qh-lab/src/sim/node_duty.rs
+++ b/crates/qh-lab/src/sim/node_duty.rs
@@ -24,7 +24,7 @@
     asked_others: Option<Ms>,
     count: Count,
     dead: bool,
-    pub suspect: Option<(Name, Ms)>,
+    pub suspect: Option<(Name, Ms, Ms)>,
     told: Ms,
     tries: u64,
     pub(super) fenced: Ms,
@@ -41,7 +41,7 @@
         self.rows.get(server).map_or_else(Eye::default, |r| Eye {
             heard: true,
             failing: r.failing.is_some(),
-            stalled: r.health.stalled(now),
+            stalled: r.health.stalled(now).is_some(),
             answering: r.health.overdue.answered_within(now, 2_000),
         })
     }
@@ -226,8 +226,8 @@
             s.failing = r.failing.map(|at| now.saturating_sub(at));
             s.declined = r.declined;
             let told =
-                self.duty.suspect.as_ref().is_some_and(|(s, at)| *s == r.beat.server && now < at + 3_000);
-            s.aside = told || r.health.stalled(now);
+                self.duty.suspect.as_ref().filter(|(s, _, last)| *s == r.beat.server && now < last + 1_200);
+            s.stalled = told.map(|(_, first, _)| now - first).max(r.health.stalled(now));
             let leads = r.beat.role == Role::Primary && r.beat.fence == fence;
             let wrong = !leads && r.failing.is_none() && r.answered > 0;
             self.duty.wrong = if wrong { self.duty.wrong.or(Some(now)) } else { None };
--- a/crates/qhd/src/dutyd.rs
+++ b/crates/qhd/src/dutyd.rs
@@ -12,13 +12,20 @@
 #[derive(Default)]
 pub struct Asked {
     pub wants: Mutex<BTreeMap<Name, Option<Name>>>,
-    /// Leads that other nodes said stall, and when.
-    pub suspects: Mutex<BTreeMap<Name, (Name, Ms)>>,
+    /// Leads that other nodes said stall: since when, and when it was last said.
+    pub suspects: Mutex<BTreeMap<Name, (Name, Ms, Ms)>>,
     /// The last promotions, newest last, for `qh explain`.
     pub told: Mutex<Vec<String>>,
 }
 
 impl Asked {
+    /// Another node says that the group's lead stalls.
+    pub fn suspect(&self, group: Name, server: Name) {
+        let mut all = self.suspects.lock().unwrap();
+        let going =
+            all.get(&group).filter(|(s, _, last)| *s == server && now() < last + SUSPECT).map(|x| x.1);
+        all.insert(group, (server, going.unwrap_or_else(now), now()));
+    }
     pub fn tell(&self, s: String) {
         log::info!(target: "promote", "{s}");
         let mut t = self.told.lock().unwrap();
@@ -30,7 +37,7 @@
 }
 
 /// How long another node's suspicion is looked into, and how often it is told.
-const SUSPECT: Ms = 3_000;
+const SUSPECT: Ms = 1_200;
 const TELL: Ms = 500;
 /// Statements answered within this time speak against a stall.
 const ANSWERING: Ms = 2_000;
@@ -56,7 +63,7 @@
         Eye {
             heard: true,
             failing,
-            stalled: h.stalled(now()),
+            stalled: h.stalled(now()).is_some(),
             answering: h.overdue.answered_within(now(), ANSWERING),
         }
     })
@@ -132,8 +139,10 @@
     s.declined = status.declined;
     s.leaving = row.leaving();
     let told = f.duty.suspects.lock().unwrap().get(g).cloned();
-    let told = told.is_some_and(|(s, at)| s == row.name && now() < at + SUSPECT);
-    s.aside = told || row.health.lock().unwrap().stalled(now());
+    let told = told
+        .filter(|(s, _, last)| *s == row.name && now() < last + SUSPECT)
+        .map(|(_, first, _)| now() - first);
+    s.stalled = told.max(row.health.lock().unwrap().stalled(now()));
     let b = row.beat.read().unwrap().clone();
     let leads = b.role == qh_core::Role::Primary && b.fence == fence && b.state != State::Starting;
     let wrong_now = !leads && status.failing.is_none() && status.answered > 0;
--- a/crates/qhd/src/meshd.rs
+++ b/crates/qhd/src/meshd.rs
@@ -163,7 +163,7 @@
             NodeRep::Sees { heard: e.heard, failing: e.failing, stalled: e.stalled, answering: e.answering }
         }
         NodeAsk::Suspect { group, server } => {
-            f.duty.suspects.lock().unwrap().insert(group, (server, now()));
+            f.duty.suspect(group, server);
             NodeRep::Done
         }
         NodeAsk::Report { what, key } => {
