--- a/crates/qh-core/src/http.rs
+++ b/crates/qh-core/src/http.rs
@@ -5,6 +5,8 @@
 use hyper_util::rt::TokioIo;
 use serde_json::Value;
 use socket2::{SockRef, TcpKeepalive};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::net::TcpStream;
 
@@ -49,20 +51,64 @@
 pub struct Wire {
     tx: SendRequest<Full<Bytes>>,
     host: String,
+    flags: Arc<Flags>,
+}
+
+/// Tells a close that says something of the peer from one that does not.
+#[derive(Default)]
+struct Flags {
+    /// We close it, or asked for the close.
+    ours: AtomicBool,
+    /// A question is on its way: whoever asked hears of the close.
+    asking: AtomicBool,
+}
+
+/// Called when an idle link breaks with an error of the kernel's: a reset, or a time-out of its own probes.
+/// An orderly close is none (§4.5).
+pub type OnBreak = Box<dyn FnOnce(std::io::Error) + Send>;
+
+/// Says that the link's end will be of our making.
+#[derive(Clone)]
+pub struct Ours(Arc<Flags>);
+
+impl Ours {
+    pub fn say(&self) {
+        self.0.ours.store(true, Ordering::SeqCst);
+    }
+}
+
+impl Drop for Wire {
+    fn drop(&mut self) {
+        self.flags.ours.store(true, Ordering::SeqCst);
+    }
 }
 
 impl Wire {
     pub async fn open(addr: &str, w: Option<Watch>) -> std::io::Result<Self> {
+        Self::open_with(addr, w, Box::new(|_| ())).await
+    }
+
+    pub async fn open_with(addr: &str, w: Option<Watch>, on_break: OnBreak) -> std::io::Result<Self> {
         let s = TcpStream::connect(addr).await?;
         match w {
             Some(w) => s.watch(w)?,
             None => s.set_nodelay(true)?,
         }
         let (tx, conn) = hyper::client::conn::http1::handshake(TokioIo::new(s)).await.map_err(other)?;
+        let flags = Arc::new(Flags::default());
+        let f = flags.clone();
         tokio::spawn(async move {
-            let _ = conn.await;
+            let end = conn.await;
+            let told = f.ours.load(Ordering::SeqCst) || f.asking.load(Ordering::SeqCst);
+            if let Some(e) = end.err().filter(|_| !told) {
+                on_break(io_of(e));
+            }
         });
-        Ok(Self { tx, host: addr.to_owned() })
+        Ok(Self { tx, host: addr.to_owned(), flags })
+    }
+
+    pub fn ours(&self) -> Ours {
+        Ours(self.flags.clone())
     }
 
     pub fn is_closed(&self) -> bool {
@@ -71,6 +117,15 @@
 
     /// Sends `body` and reads the whole JSON answer. An error leaves the link unfit for use.
     pub async fn ask(&mut self, call: &Call<'_>) -> std::io::Result<(u16, Value)> {
+        self.flags.asking.store(true, Ordering::SeqCst);
+        let r = self.ask_it(call).await;
+        if r.is_ok() {
+            self.flags.asking.store(false, Ordering::SeqCst);
+        }
+        r
+    }
+
+    async fn ask_it(&mut self, call: &Call<'_>) -> std::io::Result<(u16, Value)> {
         self.tx.ready().await.map_err(other)?;
         let mut b = hyper::Request::builder()
             .method(call.method)
--- a/crates/qh-data/src/board.rs
+++ b/crates/qh-data/src/board.rs
@@ -4,6 +4,7 @@
 use crate::pool::Pool;
 use crate::verdict::Health;
 use qh_core::blueprint::{Blueprint, Placement};
+use qh_core::http::OnBreak;
 use qh_core::index::{Ix, Names};
 use qh_core::{Beat, ChangeNo, Edition, Lead, Ms, Name, now};
 use std::collections::BTreeMap;
@@ -35,6 +36,8 @@
     pub beat: RwLock<Beat>,
     pub health: Mutex<Health>,
     pub pool: Pool,
+    /// How idle links broke since the judges last looked.
+    pub broke: Mutex<Vec<std::io::Error>>,
     /// Newest STATUS: when asked, and whether it says that the server leaves.
     pub status: Mutex<StatusRow>,
 }
@@ -149,6 +152,7 @@
             beat: RwLock::new(Beat { seq: 0, ..b.clone() }),
             health: Mutex::default(),
             pool: Pool::default(),
+            broke: Mutex::default(),
             status: Mutex::default(),
         });
         rows.push(row.clone());
@@ -176,6 +180,11 @@
 }
 
 impl ServerRow {
+    /// Keeps an idle link's break for the judges.
+    pub fn on_break(self: &Arc<Self>) -> OnBreak {
+        let row = self.clone();
+        Box::new(move |e| row.broke.lock().unwrap().push(e))
+    }
     pub fn addr(&self) -> Name {
         self.beat.read().unwrap().addr.clone()
     }
--- a/crates/qh-data/src/carry.rs
+++ b/crates/qh-data/src/carry.rs
@@ -52,7 +52,7 @@
 async fn watch(n: Arc<Node>, mut loan: Loan, c: (&'static str, Value), owe: Owe, id: u64, mut tx: Back) {
     let row = loan.row().clone();
     row.health.lock().unwrap().overdue.sent(now(), id, owe.timeout, owe.query_timeout, owe.long);
-    let (lid, addr) = (loan.link().id.clone(), loan.link().addr.clone());
+    let (lid, addr, ours) = (loan.link().id.clone(), loan.link().addr.clone(), loan.link().ours());
     let mut given_up = false;
     let got = {
         let asking = loan.link().ask(c);
@@ -65,6 +65,7 @@
             Some(r) => Some(r),
             None => {
                 given_up = true;
+                ours.say();
                 n.rt.spawn(async move {
                     let (path, body) = call::cancel(&lid);
                     let _ = post(&addr, path, &body, Duration::from_secs(2)).await;
--- a/crates/qh-data/src/link.rs
+++ b/crates/qh-data/src/link.rs
@@ -1,7 +1,7 @@
 //! One link to one server: one connection, one server-side context (§4.3).
 use crate::server::{Reply, call};
 use crate::session::Context;
-use qh_core::http::{Call, Watch, Wire};
+use qh_core::http::{Call, OnBreak, Ours, Watch, Wire};
 use qh_core::{Code, Ms, Name, now};
 use serde_json::Value;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -29,11 +29,20 @@
 }
 
 impl Link {
-    pub async fn open(me: &str, server: &Name, addr: &Name, w: Watch) -> std::io::Result<Link> {
-        let wire = Wire::open(addr, Some(w)).await?;
+    pub async fn open(
+        me: &str,
+        server: &Name,
+        addr: &Name,
+        w: Watch,
+        on_break: OnBreak,
+    ) -> std::io::Result<Link> {
+        let wire = Wire::open_with(addr, Some(w), on_break).await?;
         let id = format!("{me}/{}/{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed)).into();
         Ok(Link { wire, id, server: server.clone(), addr: addr.clone(), ctx: 0, used: 0 })
     }
+    pub fn ours(&self) -> Ours {
+        self.wire.ours()
+    }
     pub fn is_closed(&self) -> bool {
         self.wire.is_closed()
     }
--- a/crates/qh-data/src/pool.rs
+++ b/crates/qh-data/src/pool.rs
@@ -99,7 +99,7 @@
                 let mut ln = loan(None);
                 let left = Duration::from_millis(until.saturating_sub(now()).max(1));
                 let addr = row.addr();
-                let open = Link::open(me, &row.name, &addr, caps.watch);
+                let open = Link::open(me, &row.name, &addr, caps.watch, row.on_break());
                 let got = tokio::time::timeout(left, open).await;
                 // Our own deadline is no finding of the kernel's: it counts as a late reply at most (§4.5).
                 let got = got.map_err(|_| NoLink::Late(left))?;
--- a/crates/qh-data/src/probe.rs
+++ b/crates/qh-data/src/probe.rs
@@ -1,6 +1,6 @@
 //! STATUS asked of every server about each second, of primaries more often (§4.8, §4.9).
 use crate::board::ServerRow;
-use crate::judge::Sign;
+use crate::judge::{Sign, ending};
 use crate::node::Node;
 use crate::server::{Reply, call};
 use crate::verdict::Verdict;
@@ -25,8 +25,16 @@
         }
         let j = n.judges();
         for row in n.board.rows() {
+            let left = row.leaving();
             let mut h = row.health.lock().unwrap();
             let had = h.asides;
+            // Links of a server that said it leaves may break as they like.
+            for e in row.broke.lock().unwrap().drain(..) {
+                let end = ending(&e, false, left);
+                if h.verdict != Verdict::SetAside {
+                    h.ended(now(), &j, end);
+                }
+            }
             h.tick(now(), &j);
             if h.asides > had {
                 let why = h.turns.back().map(|t| t.why.clone()).unwrap_or_default();
@@ -56,14 +64,14 @@
     }
 }
 
-async fn one(row: &ServerRow, wire: &mut Option<(Wire, qh_core::Name)>) -> std::io::Result<Reply> {
+async fn one(row: &Arc<ServerRow>, wire: &mut Option<(Wire, qh_core::Name)>) -> std::io::Result<Reply> {
     let addr = row.addr();
     let (path, body) = call::status();
     let c = Call { method: "POST", path, body: &body, token: None };
     let work = async {
         let mut w = match wire.take() {
             Some((w, a)) if a == addr && !w.is_closed() => w,
-            _ => Wire::open(&addr, None).await?,
+            _ => Wire::open_with(&addr, None, row.on_break()).await?,
         };
         let (_, v) = w.ask(&c).await?;
         *wire = Some((w, addr));
--- a/crates/qh-lab/src/relay.rs
+++ b/crates/qh-lab/src/relay.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 
 /// What a lost packet costs a stream: the sender's wait before it sends again.
@@ -26,17 +26,18 @@
     Ok(())
 }
 
-async fn link(a: TcpStream, to: String, f: Arc<Faults>, n: u64) {
+async fn link(mut a: TcpStream, to: String, f: Arc<Faults>, n: u64) {
     // In a hole not even the greeting gets through.
     f.while_up(&f.hole).await;
-    let Ok(b) = TcpStream::connect(&to).await else { return };
+    let Ok(mut b) = TcpStream::connect(&to).await else { return };
     for s in [&a, &b] {
         let _ = s.set_nodelay(true);
         let _ = socket2::SockRef::from(s).set_linger(Some(Duration::ZERO));
     }
     let born = f.cut_no.load(Ordering::SeqCst);
-    let (ar, aw) = a.into_split();
-    let (br, bw) = b.into_split();
+    // Borrowed halves: an owned one would say an orderly farewell when it is dropped, and there would be no reset.
+    let (ar, aw) = a.split();
+    let (br, bw) = b.split();
     let there = pump(ar, bw, f.clone(), Rng::new(n));
     let back = pump(br, aw, f.clone(), Rng::new(!n));
     let cut = async {
@@ -52,7 +53,7 @@
     tokio::select! { () = there => {}, () = back => {}, () = cut => {} }
 }
 
-async fn pump(mut r: OwnedReadHalf, mut w: OwnedWriteHalf, f: Arc<Faults>, mut rng: Rng) {
+async fn pump(mut r: ReadHalf<'_>, mut w: WriteHalf<'_>, f: Arc<Faults>, mut rng: Rng) {
     let mut buf = vec![0; 16 << 10];
     loop {
         f.while_up(&f.hole).await;
--- a/crates/qh-lab/tests/node.rs
+++ b/crates/qh-lab/tests/node.rs
@@ -151,6 +151,17 @@
     assert!(k.status_answers("s2"), "STATUS answers all along");
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_reset_of_idle_links_sets_aside_at_once() {
+    let k = Kit::new("").await;
+    k.post("/v1/lookup", json!({"text": "get l", "labels": {"db": "g1"}})).await;
+    assert_eq!(k.verdict("s2"), Verdict::InRotation);
+    k.fault(1, json!({"reset": true}));
+    k.until("s2 to be set aside", || k.verdict("s2") == Verdict::SetAside).await;
+    assert!(k.signs("s2").contains(&Sign::Reset), "{:?}", k.signs("s2"));
+    assert_eq!(k.verdict("s3"), Verdict::InRotation);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_server_that_leaves_gets_no_new_work_and_its_close_is_no_reset() {
     let k = Kit::new("").await;
