--- a/crates/qhlab/src/bench.rs
+++ b/crates/qhlab/src/bench.rs
@@ -114,8 +114,14 @@
                 .map(|x| x.1)
                 .unwrap_or(Value::Null);
             let lead = lead_of(&st);
-            let victim =
-                r.plan.servers.iter().find(|s| Some(&s.name) != lead.as_ref()).ok_or("no replica")?.clone();
+            let victim = r
+                .plan
+                .servers
+                .iter()
+                .rev()
+                .find(|s| Some(&s.name) != lead.as_ref())
+                .ok_or("no replica")?
+                .clone();
             let door = r.plan.nodes[0].door.clone();
             let load = tokio::spawn(async move {
                 loop {
