Success is only what a server stamped; what nodes alone took on is promised

Cause: a rollback whose reply was lost, late, forged or an error was answered kept without a stamp, as the success type let its stamp be absent; open, set, prepare and close said kept though no server was asked; begin made up its rows. Now a success is kept with stamp and rows, or promised with neither, so such an answer cannot be written any more.

--- a/crates/qh-core/src/code.rs
+++ b/crates/qh-core/src/code.rs
@@ -33,6 +33,7 @@
     InTransaction = 1205, 409, "a transaction is already open";
     TransactionLost = 1206, 409, "the transaction is gone; nothing of it was kept";
     SessionsFull = 1207, 503, "this node holds as many sessions as it may";
+    RolledBack = 1208, 502, "nothing of the transaction was kept; the server did not say so itself";
     HoldingFull = 1301, 503, "too many visits are held already";
     DeadlinePassed = 1302, 504, "the deadline passed before an answer was had";
     LinksBusy = 1303, 503, "no link came free in time";
--- a/crates/qh-data/src/filters.rs
+++ b/crates/qh-data/src/filters.rs
@@ -3,7 +3,6 @@
 use crate::visit::{Answer, Good, Visit, What};
 use crate::{lookup, order, session, txn};
 use qh_core::{Breakdown, Code, Ms, now};
-use serde_json::json;
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -114,7 +113,7 @@
             ctx.closed = true;
             s.ctx = ctx.clone();
             n.sessions.drop_one(&id);
-            Some(n.copies.store(ctx).await.map(|()| Good { rows: json!([]), stamp: None }))
+            Some(n.copies.store(ctx).await.map(|()| Good::Promised))
         }
         What::Order if s.txn.is_some() => Some(Err(Code::InTransaction.bare())),
         _ => None,
@@ -143,7 +142,7 @@
     n.copies.store(ctx.clone()).await?;
     s.moved = false;
     s.ctx = ctx;
-    Ok(Good { rows: json!([]), stamp: None })
+    Ok(Good::Promised)
 }
 
 fn rule(n: &Node, v: &mut Visit) -> Result<(), Breakdown> {
--- a/crates/qh-data/src/lookup.rs
+++ b/crates/qh-data/src/lookup.rs
@@ -6,7 +6,7 @@
 use crate::server::call;
 use crate::shard::Use;
 use crate::verdict::Verdict;
-use crate::visit::{Answer, Good, Visit};
+use crate::visit::{Answer, Visit};
 use qh_core::blueprint::{Blueprint, Rule};
 use qh_core::{Code, Ms, Name, Role, now};
 use std::sync::Arc;
@@ -135,13 +135,13 @@
                     }
                     return Err(declined(&r));
                 }
-                let Some(rows) = r.good(&name) else {
+                let Some(good) = r.good(&name) else {
                     why = Code::BadReply.bare();
                     continue;
                 };
                 if fresh_enough(n, &c, &r.stamp, rule.fresh_ms, asked) {
                     v.note(format!("{name} answered"));
-                    return Ok(Good { rows: rows.clone(), stamp: Some(r.stamp.clone()) });
+                    return Ok(good);
                 }
                 v.note(format!("{name} was behind"));
                 why = Code::Stale.bare();
--- a/crates/qh-data/src/node.rs
+++ b/crates/qh-data/src/node.rs
@@ -131,7 +131,7 @@
         self.copies.store(ctx.clone()).await?;
         let held = self.sessions.put(ctx, now(), false);
         v.held = held.try_lock_owned().ok();
-        Ok(Good { rows: json!([]), stamp: None })
+        Ok(Good::Promised)
     }
 
     /// The session, whole and at least of the edition the origin knows, for this visit alone (§6.4).
--- a/crates/qh-data/src/order.rs
+++ b/crates/qh-data/src/order.rs
@@ -6,7 +6,7 @@
 use crate::pool::{Caps, Loan, NoLink, take};
 use crate::server::{self, Reply, Try, call};
 use crate::shard::Use;
-use crate::visit::{Answer, Good, Visit};
+use crate::visit::{Answer, Visit};
 use qh_core::{Breakdown, Code, Fence, Ms, Name, Role};
 use serde_json::Value;
 use std::sync::Arc;
@@ -129,9 +129,9 @@
         Some(_) if !n.board.has_lease() => {
             Err(Code::NoLease.because("it ran out before the reply").unknown())
         }
-        Some(rows) => {
+        Some(good) => {
             n.board.seen(&v.group, |s| s.note(v.began, r.stamp.position));
-            Ok(Good { rows: rows.clone(), stamp: Some(r.stamp.clone()) })
+            Ok(good)
         }
         None => Err(Code::BadReply.bare().unknown()),
     }
@@ -155,10 +155,7 @@
                 match r.outcome.as_deref() {
                     // It proves nothing of what else is visible at a primary that just took over (§4.8).
                     Some("kept") => {
-                        return r
-                            .good(&row.name)
-                            .map(|rows| Good { rows: rows.clone(), stamp: Some(r.stamp.clone()) })
-                            .ok_or_else(|| Code::BadReply.bare().unknown());
+                        return r.good(&row.name).ok_or_else(|| Code::BadReply.bare().unknown());
                     }
                     Some("sealed") => return Err(Code::Sealed.bare()),
                     Some("not-kept") if !seal => {
@@ -212,6 +209,5 @@
     if !n.board.has_lease() || !led || r.stamp.fence != fence {
         return Err(Code::NoPrimary.because("it changed hands while the read ran").retry(200));
     }
-    let good = r.good(&v.ran.server).map(|rows| Good { rows: rows.clone(), stamp: Some(r.stamp.clone()) });
-    good.ok_or_else(|| Code::BadReply.bare())
+    r.good(&v.ran.server).ok_or_else(|| Code::BadReply.bare())
 }
--- a/crates/qh-data/src/server.rs
+++ b/crates/qh-data/src/server.rs
@@ -1,4 +1,5 @@
 //! The wire shapes of database servers, all in this one module (§3, docs/server.md).
+use crate::visit::Good;
 use qh_core::{Beat, Fence, Name, Position, Stamp, State};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
@@ -95,9 +96,10 @@
     pub fn read(v: Value) -> Option<Reply> {
         serde_json::from_value(v).ok()
     }
-    /// The rows of a success stamped by the very server that was asked; anything else is no success (§1 N4).
-    pub fn good(&self, server: &str) -> Option<&Value> {
-        self.rows.as_ref().filter(|_| self.error.is_none() && self.stamp.server == server)
+    /// The success stamped by the very server that was asked; anything else is no success (§1 N4).
+    pub fn good(&self, server: &str) -> Option<Good> {
+        let rows = self.rows.as_ref().filter(|_| self.error.is_none() && self.stamp.server == server)?;
+        Some(Good::Kept { rows: rows.clone(), stamp: self.stamp.clone() })
     }
     pub fn status(self) -> Option<Status> {
         let stamp = self.stamp;
--- a/crates/qh-data/src/txn.rs
+++ b/crates/qh-data/src/txn.rs
@@ -6,10 +6,9 @@
 use crate::pool::Loan;
 use crate::server::{Try, call};
 use crate::session::Session;
-use crate::visit::{Answer, Good, Visit, content_sum};
+use crate::visit::{Answer, Visit, content_sum};
 use qh_core::blueprint::Rule;
 use qh_core::{Breakdown, Code, Fence, Ms, Name, now};
-use serde_json::json;
 use std::sync::Arc;
 
 /// How long a transaction may go on after its server said that it leaves (§4.9).
@@ -40,12 +39,15 @@
     let q = call::begin(&loan.link().id.clone(), fence);
     match ask(n, loan, q, owe(&bp, &rule), n.next_id(), v.until).await {
         Asked::Reply(r, loan) if r.good(&v.ran.server).is_some() && r.stamp.fence == fence => {
+            let good = r.good(&v.ran.server).ok_or_else(|| Code::BadReply.bare());
             let (group, server, placement) = (v.group.clone(), v.ran.server.clone(), v.ran.placement.clone());
             let sum = 0;
             let used = now();
             of(v)?.txn = Some(Open { loan: Some(loan), fence, group, server, placement, rule, sum, used });
-            Ok(Good { rows: json!([]), stamp: Some(r.stamp) })
+            good
         }
+        // A success of which stamp or rows are not the server's own is none; its link is dropped.
+        Asked::Reply(r, _) if r.error.is_none() => Err(Code::BadReply.bare()),
         Asked::Reply(r, loan) => {
             loan.give_back();
             Err(declined(&r))
@@ -112,15 +114,22 @@
 pub async fn rollback(n: &Arc<Node>, v: &mut Visit) -> Answer {
     let o = taken(v)?;
     let bp = v.plan.blueprint.clone().ok_or_else(|| Code::NoBlueprint.bare())?;
-    let Some(mut loan) = o.loan else { return Ok(Good { rows: json!([]), stamp: None }) };
+    let Some(mut loan) = o.loan else { return Err(Code::TransactionLost.bare()) };
+    v.ran.district = loan.row().district();
     let q = call::rollback(&loan.link().id.clone());
-    // Whatever comes of it, nothing was kept: a link that is not answered is dropped, and that rolls back too.
+    // Without the server's own word nothing was kept either, as its link is dropped and that rolls back too; but
+    // it is no success, for nothing is stamped (§1 N4).
     match ask(n, loan, q, owe(&bp, &o.rule), n.next_id(), v.until).await {
-        Asked::Reply(r, loan) if r.error.is_none() => {
+        Asked::Reply(r, loan) if r.good(&v.ran.server).is_some() => {
             loan.give_back();
-            Ok(Good { rows: json!([]), stamp: Some(r.stamp) })
+            r.good(&v.ran.server).ok_or_else(|| Code::BadReply.bare())
+        }
+        Asked::Reply(r, _) if r.error.is_some() => {
+            Err(Code::RolledBack.because("the server declined the call"))
         }
-        _ => Ok(Good { rows: json!([]), stamp: None }),
+        Asked::Reply(..) => Err(Code::RolledBack.because("the server's reply lacked its own stamp or rows")),
+        Asked::Broke(_) => Err(Code::RolledBack.because("the link broke")),
+        Asked::Silent => Err(Code::RolledBack.because("the server did not answer in time")),
     }
 }
 
--- a/crates/qh-data/src/visit.rs
+++ b/crates/qh-data/src/visit.rs
@@ -72,11 +72,12 @@
     pub verdict: Name,
 }
 
-/// A success: the server's own stamp and rows, unchanged.
+/// A success. What a server did has its own stamp and rows, unchanged; there is no success of a server's
+/// without them (§1 N4). What the nodes alone took on is promised.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Good {
-    pub rows: Value,
-    pub stamp: Option<Stamp>,
+pub enum Good {
+    Kept { rows: Value, stamp: Stamp },
+    Promised,
 }
 
 pub struct Visit {
@@ -115,7 +116,8 @@
     /// The reply to the origin as status and JSON.
     pub fn reply(&self, a: &Answer) -> (u16, Value) {
         let mut v = match a {
-            Ok(g) => json!({"end": "kept", "rows": g.rows, "stamp": g.stamp}),
+            Ok(Good::Kept { rows, stamp }) => json!({"end": "kept", "rows": rows, "stamp": stamp}),
+            Ok(Good::Promised) => json!({"end": "promised"}),
             Err(b) => breakdown_json(b),
         };
         if let Some(m) = v.as_object_mut() {
--- a/crates/qh-lab/src/history.rs
+++ b/crates/qh-lab/src/history.rs
@@ -7,6 +7,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub enum End {
     Kept,
+    /// The nodes took it on; no server was asked.
+    Promised,
     Nothing,
     Unknown,
     /// No answer at all: the node or the way to it broke.
--- a/crates/qh-lab/src/load.rs
+++ b/crates/qh-lab/src/load.rs
@@ -102,6 +102,7 @@
     pub(crate) fn end_of(got: &Option<(u16, Value)>) -> End {
         match got.as_ref().map(|(_, v)| v["end"].as_str().unwrap_or_default()) {
             Some("kept") => End::Kept,
+            Some("promised") => End::Promised,
             Some("nothing") => End::Nothing,
             Some(_) => End::Unknown,
             None => End::Lost,
@@ -139,10 +140,10 @@
             let e = v["edition"].as_u64()?;
             let set = json!({"session": id, "edition": e, "text": format!("tag={}", self.mark())});
             let (_, v) = self.call("/v1/set", set, ORDER_MS).await?;
-            let e = v["edition"].as_u64().filter(|_| v["end"] == "kept")?;
+            let e = v["edition"].as_u64().filter(|_| v["end"] == "promised")?;
             let prep = json!({"session": id, "edition": e, "name": "mine", "text": "has $1 $2"});
             let (_, v) = self.call("/v1/prepare", prep, ORDER_MS).await?;
-            let e = v["edition"].as_u64().filter(|_| v["end"] == "kept")?;
+            let e = v["edition"].as_u64().filter(|_| v["end"] == "promised")?;
             self.session = Some((id, e));
         }
         self.session.clone()
--- a/crates/qh-lab/src/stand/faults.rs
+++ b/crates/qh-lab/src/stand/faults.rs
@@ -31,6 +31,8 @@
     pub delay_ms: Option<u64>,
     /// The relay resets every link once.
     pub cut: Option<bool>,
+    /// So many rollbacks are answered only after two seconds.
+    pub mute: Option<u64>,
     /// A success without stamp or rows, so many times (checker's own test).
     pub forge: Option<u64>,
 }
@@ -44,6 +46,7 @@
     pub lag_ms: AtomicU64,
     pub lose: AtomicU64,
     pub forge: AtomicU64,
+    pub mute: AtomicU64,
     pub reset_no: AtomicU64,
     pub hole: AtomicBool,
     pub drop_pm: AtomicU64,
@@ -65,6 +68,7 @@
         num(&self.lag_ms, w.lag_ms);
         num(&self.lose, w.lose_answers);
         num(&self.forge, w.forge);
+        num(&self.mute, w.mute);
         flag(&self.hole, w.hole);
         num(&self.drop_pm, w.drop_pm);
         num(&self.delay_ms, w.delay_ms);
