--- a/crates/qh-data/src/link.rs
+++ b/crates/qh-data/src/link.rs
@@ -1,6 +1,6 @@
 //! One link to one server: one connection, one server-side context (§4.3).
 use crate::server::{Reply, call};
-use crate::session::Context;
+use crate::session::{Context, Texts};
 use qh_core::http::{Call, OnBreak, Ours, Watch, Wire};
 use qh_core::{Code, Ms, Name, now};
 use serde_json::Value;
@@ -14,8 +14,8 @@
     pub id: Name,
     pub server: Name,
     pub addr: Name,
-    /// Sum of the context the link carries; 0 for a bare one.
-    pub ctx: u64,
+    /// What the link wears; `None` while that is not known.
+    worn: Option<Texts>,
     pub used: u64,
 }
 
@@ -38,7 +38,14 @@
     ) -> std::io::Result<Link> {
         let wire = Wire::open_with(addr, Some(w), on_break).await?;
         let id = format!("{me}/{}/{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed)).into();
-        Ok(Link { wire, id, server: server.clone(), addr: addr.clone(), ctx: 0, used: 0 })
+        Ok(Link {
+            wire,
+            id,
+            server: server.clone(),
+            addr: addr.clone(),
+            worn: Some(Texts::default()),
+            used: 0,
+        })
     }
     pub fn ours(&self) -> Ours {
         self.wire.ours()
@@ -46,6 +53,9 @@
     pub fn is_closed(&self) -> bool {
         self.wire.is_closed()
     }
+    pub fn wears(&self, t: &Texts) -> bool {
+        self.worn.as_ref() == Some(t)
+    }
     pub async fn ask(&mut self, (path, body): (&str, Value)) -> Result<Reply, LinkBroke> {
         self.used += 1;
         let c = Call { method: "POST", path, body: &body, token: None };
@@ -63,25 +73,25 @@
     }
 
     async fn change(&mut self, ctx: &Context) -> Result<Option<Reply>, LinkBroke> {
-        let want = ctx.sum();
-        if self.ctx == want {
+        let want = ctx.texts();
+        if self.wears(&want) {
             return Ok(None);
         }
         let id = self.id.clone();
         let mut calls = Vec::new();
-        if self.ctx != 0 {
+        if !self.wears(&Texts::default()) {
             calls.push(call::reset(&id));
         }
         calls.extend(ctx.settings.iter().map(|t| call::set(&id, t)));
         calls.extend(ctx.prepared.iter().map(|(n, t)| call::prepare(&id, n, t)));
-        self.ctx = u64::MAX;
+        self.worn = None;
         for c in calls {
             let r = self.ask(c).await?;
             if r.error.is_some() {
                 return Ok(Some(r));
             }
         }
-        self.ctx = want;
+        self.worn = Some(want);
         Ok(None)
     }
 }
--- a/crates/qh-data/src/lookup.rs
+++ b/crates/qh-data/src/lookup.rs
@@ -98,7 +98,7 @@
         });
         let till = patience(v, o.long && !c.trial, c.primary);
         let caps = Caps::of(&bp, c.primary);
-        let mut loan = match take(&c.row, &n.set.name, Use::Lookup, caps, ctx.sum(), till).await {
+        let mut loan = match take(&c.row, &n.set.name, Use::Lookup, caps, &ctx.texts(), till).await {
             Ok(l) => l,
             Err(e) => {
                 if c.trial {
--- a/crates/qh-data/src/order.rs
+++ b/crates/qh-data/src/order.rs
@@ -42,7 +42,7 @@
         v.ran.district = row.district();
         v.ran.verdict = "primary".into();
         let caps = Caps::of(&bp, true);
-        let mut loan = match take(&row, &n.set.name, Use::Order, caps, ctx.sum(), v.until).await {
+        let mut loan = match take(&row, &n.set.name, Use::Order, caps, &ctx.texts(), v.until).await {
             Ok(l) => l,
             Err(NoLink::Busy(b)) => return Err(b),
             Err(e) => {
@@ -66,7 +66,8 @@
     let key = v.body.key.clone().ok_or_else(|| Code::MissingTry.bare())?;
     let (bp, rule) = v.plan.blueprint.clone().zip(v.rule.clone()).ok_or_else(|| Code::NoRule.bare())?;
     let (mut loan, fence) = to_primary(n, v).await?;
-    let t = Try { key: &key, sum: v.sum(), fence };
+    let sum = v.sum();
+    let t = Try { key: &key, sum: &sum, fence };
     let q = call::order(&loan.link().id.clone(), v.text(), &v.body.params, &t);
     let asked = ask(n, loan, q, owe(&bp, &rule), n.next_id(), v.until.saturating_sub(LAST)).await;
     finish(n, v, &key, fence, asked).await
--- a/crates/qh-data/src/pool.rs
+++ b/crates/qh-data/src/pool.rs
@@ -1,6 +1,7 @@
 //! Links of one server, shared between transactions, never inside one (§4.3).
 use crate::judge::{Ending, ending};
 use crate::link::Link;
+use crate::session::Texts;
 use crate::shard::{Grant, Shard, Use};
 use qh_core::blueprint::Blueprint;
 use qh_core::http::Watch;
@@ -79,7 +80,7 @@
     me: &str,
     u: Use,
     caps: Caps,
-    ctx: u64,
+    ctx: &Texts,
     until: Ms,
 ) -> Result<Loan, NoLink> {
     loop {
@@ -87,7 +88,7 @@
         tokio::pin!(woken);
         woken.as_mut().enable();
         let epoch = row.pool.epoch.load(Ordering::SeqCst);
-        let fits = |l: &Link| !l.is_closed() && l.ctx == ctx;
+        let fits = |l: &Link| !l.is_closed() && l.wears(ctx);
         let loan = |link| Loan { link, row: row.clone(), use_: u, caps, epoch, settled: false };
         match row.pool.shard.take(u, caps.links, caps.share, fits) {
             Grant::Idle(l) if l.is_closed() => {
--- a/crates/qh-data/src/server.rs
+++ b/crates/qh-data/src/server.rs
@@ -81,7 +81,7 @@
 /// A try as the server sees it.
 pub struct Try<'a> {
     pub key: &'a str,
-    pub sum: u64,
+    pub sum: &'a str,
     pub fence: Fence,
 }
 
--- a/crates/qh-data/src/session.rs
+++ b/crates/qh-data/src/session.rs
@@ -18,19 +18,17 @@
     }
 }
 
+/// What a link wears, by its content: links are told apart by the texts themselves, not by a sum (§4.3).
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Texts {
+    pub settings: Vec<String>,
+    pub prepared: Vec<(Name, String)>,
+}
+
 impl Context {
-    /// Sum of what a link must carry; 0 for none.
-    pub fn sum(&self) -> u64 {
-        if self.settings.is_empty() && self.prepared.is_empty() {
-            return 0;
-        }
-        let mut parts: Vec<&[u8]> = self.settings.iter().map(|s| s.as_bytes()).collect();
-        parts.push(b"/");
-        for (n, t) in &self.prepared {
-            parts.push(n.as_bytes());
-            parts.push(t.as_bytes());
-        }
-        hash64(&parts).clamp(1, u64::MAX - 1)
+    /// What a link must wear for this session.
+    pub fn texts(&self) -> Texts {
+        Texts { settings: self.settings.clone(), prepared: self.prepared.clone() }
     }
 }
 
--- a/crates/qh-data/src/txn.rs
+++ b/crates/qh-data/src/txn.rs
@@ -22,7 +22,7 @@
     pub server: Name,
     pub placement: Name,
     pub rule: Rule,
-    pub sum: u64,
+    pub sum: Name,
     pub used: Ms,
 }
 
@@ -41,7 +41,7 @@
         Asked::Reply(r, loan) if r.good(&v.ran.server).is_some() && r.stamp.fence == fence => {
             let good = r.good(&v.ran.server).ok_or_else(|| Code::BadReply.bare());
             let (group, server, placement) = (v.group.clone(), v.ran.server.clone(), v.ran.placement.clone());
-            let sum = 0;
+            let sum = Name::default();
             let used = now();
             of(v)?.txn = Some(Open { loan: Some(loan), fence, group, server, placement, rule, sum, used });
             good
@@ -76,7 +76,7 @@
     let Some(mut loan) = o.loan.take() else { return Err(Code::TransactionLost.bare()) };
     v.ran.district = loan.row().district();
     let q = call::run(&loan.link().id.clone(), v.text(), &v.body.params);
-    let sum = content_sum(o.sum, v.text(), &v.body.params);
+    let sum = content_sum(&o.sum, v.text(), &v.body.params);
     // A transaction is never carried elsewhere: its breakdown ends it, and nothing of it was kept.
     match ask(n, loan, q, owe(&bp, &o.rule), n.next_id(), v.until).await {
         Asked::Reply(r, loan) => {
@@ -105,7 +105,7 @@
     let bp = v.plan.blueprint.clone().ok_or_else(|| Code::NoBlueprint.bare())?;
     let Some(mut loan) = o.loan else { return Err(Code::TransactionLost.bare()) };
     v.ran.district = loan.row().district();
-    let t = Try { key: &key, sum: o.sum, fence: o.fence };
+    let t = Try { key: &key, sum: &o.sum, fence: o.fence };
     let q = call::commit(&loan.link().id.clone(), &t);
     let asked = ask(n, loan, q, owe(&bp, &o.rule), n.next_id(), v.until.saturating_sub(40)).await;
     finish(n, v, &key, o.fence, asked).await
--- a/crates/qh-data/src/visit.rs
+++ b/crates/qh-data/src/visit.rs
@@ -1,7 +1,8 @@
 //! A visit and its answer: the shapes origins see (§4.1, docs/origin.md).
-use qh_core::{Breakdown, Code, Edition, End, Labels, Ms, Name, Stamp, hash64, now};
+use qh_core::{Breakdown, Code, Edition, End, Labels, Ms, Name, Stamp, now};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
 
 /// What an origin may send. Every field beyond the call's own is declined.
 #[derive(Clone, Debug, Default, Deserialize)]
@@ -105,8 +106,8 @@
         self.body.text.as_deref().unwrap_or_default()
     }
     /// Sum of an order's content: a try key used again must bring the same (§4.6).
-    pub fn sum(&self) -> u64 {
-        content_sum(0, self.text(), &self.body.params)
+    pub fn sum(&self) -> Name {
+        content_sum("", self.text(), &self.body.params)
     }
     pub fn note(&mut self, s: impl Into<String>) {
         if self.path.len() < 32 {
@@ -132,9 +133,14 @@
     }
 }
 
-/// Adds a statement to a sum over what an order does.
-pub fn content_sum(so_far: u64, text: &str, params: &Value) -> u64 {
-    hash64(&[&so_far.to_le_bytes(), text.as_bytes(), params.to_string().as_bytes()]) >> 1
+/// Adds a statement to a digest over what an order does (SHA-256, in hex): equal only for equal content.
+pub fn content_sum(so_far: &str, text: &str, params: &Value) -> Name {
+    let mut d = Sha256::new();
+    for part in [so_far, text, &params.to_string()] {
+        d.update((part.len() as u64).to_le_bytes());
+        d.update(part.as_bytes());
+    }
+    d.finalize().iter().map(|b| format!("{b:02x}")).collect()
 }
 
 pub fn breakdown_json(b: &Breakdown) -> Value {
@@ -164,3 +170,23 @@
         Code::Malformed.because(format_args!("{kind}, at line {} column {}", e.line(), e.column()))
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn content_is_known_by_a_digest_that_keeps_its_parts_apart() {
+        let p = json!(["t1"]);
+        let one = content_sum("", "append l $1", &p);
+        assert_eq!((one.len(), &one), (64, &content_sum("", "append l $1", &json!(["t1"]))));
+        let two = content_sum(&one, "add total 1", &Value::Null);
+        let others = [
+            content_sum("", "append l $", &json!("1[\"t1\"]")),
+            content_sum("", "append l $1", &json!(["t1", null])),
+            content_sum("", "add total 1", &Value::Null),
+            content_sum(&content_sum("", "add total 1", &Value::Null), "append l $1", &p),
+        ];
+        assert!(!others.contains(&one) && !others.contains(&two));
+    }
+}
--- a/crates/qh-lab/src/db.rs
+++ b/crates/qh-lab/src/db.rs
@@ -18,7 +18,7 @@
     Start,
     Commit {
         key: Name,
-        sum: u64,
+        sum: Name,
         writes: Vec<Write>,
         rows: Value,
     },
@@ -37,7 +37,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Outcome {
     Kept {
-        sum: u64,
+        sum: Name,
         rows: Value,
     },
     Sealed,
@@ -161,8 +161,8 @@
         })
     }
     /// Appends a commit; whoever calls waits until `commit` has reached the number.
-    pub fn add_commit(&mut self, key: &str, sum: u64, writes: Vec<Write>, rows: Value) -> u64 {
-        self.push(Kind::Commit { key: key.into(), sum, writes, rows })
+    pub fn add_commit(&mut self, key: &str, sum: &str, writes: Vec<Write>, rows: Value) -> u64 {
+        self.push(Kind::Commit { key: key.into(), sum: sum.into(), writes, rows })
     }
     pub fn add_seal(&mut self, key: &str) -> u64 {
         self.push(Kind::Seal { key: key.into() })
--- a/crates/qh-lab/src/db_repl.rs
+++ b/crates/qh-lab/src/db_repl.rs
@@ -82,7 +82,7 @@
         let (mut a, mut b) = (Db::new("a"), Db::new("b"));
         a.promote(1);
         sync(&mut a, &mut b);
-        a.add_commit("t1", 7, vec![Write::Add("x".into(), 1)], Value::Null);
+        a.add_commit("t1", "x", vec![Write::Add("x".into(), 1)], Value::Null);
         sync(&mut a, &mut b);
         assert!(a.whole());
         let mut a = Db::replay("a", std::mem::take(&mut a.lines).into_iter());
@@ -97,11 +97,11 @@
         let (mut a, mut b, mut c) = (Db::new("a"), Db::new("b"), Db::new("c"));
         assert!(a.promote(1));
         sync(&mut a, &mut b);
-        let n = a.add_commit("t1", 7, vec![Write::Add("x".into(), 1)], Value::Null);
+        let n = a.add_commit("t1", "x", vec![Write::Add("x".into(), 1)], Value::Null);
         assert!(a.commit < n);
         sync(&mut a, &mut b);
         assert_eq!(a.commit, n);
-        a.add_commit("lost", 7, vec![Write::Add("x".into(), 5)], Value::Null);
+        a.add_commit("lost", "x", vec![Write::Add("x".into(), 5)], Value::Null);
         // b and c are fenced; b is ahead and is promoted. The old primary's lone record must go.
         assert!(b.set_fence(2) && c.set_fence(2));
         assert!(a.pull(&Pull { server: "b".into(), fence: 2, have: b.end() }, 9).is_none());
@@ -111,6 +111,6 @@
         assert_eq!(a.kv.get("x"), Some(&Value::from(1)));
         assert_eq!(a.log, b.log);
         assert_eq!(a.outcome("lost"), Outcome::NotKept);
-        assert_matches::assert_matches!(c.outcome("t1"), Outcome::Kept { sum: 7, .. });
+        assert_matches::assert_matches!(c.outcome("t1"), Outcome::Kept { sum, .. } if sum == "x");
     }
 }
--- a/crates/qh-lab/src/sim/node_visit.rs
+++ b/crates/qh-lab/src/sim/node_visit.rs
@@ -80,7 +80,7 @@
                 v.fence = f;
                 let call = match want {
                     Want::Order { key, list } if !v.sent => {
-                        SrvCall::Order { key: key.clone(), sum: 7, fence: f, list: list.clone() }
+                        SrvCall::Order { key: key.clone(), sum: "7".into(), fence: f, list: list.clone() }
                     }
                     Want::Order { key, .. } | Want::Ask { key } => {
                         SrvCall::Outcome { key: key.clone(), seal: true, fence: f }
--- a/crates/qh-lab/src/sim/server.rs
+++ b/crates/qh-lab/src/sim/server.rs
@@ -6,7 +6,7 @@
 
 #[derive(Clone, Debug)]
 pub enum SrvCall {
-    Order { key: Name, sum: u64, fence: Fence, list: String },
+    Order { key: Name, sum: Name, fence: Fence, list: String },
     Read { list: String },
     Status,
     Fence(Fence),
@@ -29,7 +29,7 @@
     pub(super) to: Pid,
     pub(super) rid: u64,
     pub(super) key: Name,
-    pub(super) sum: u64,
+    pub(super) sum: Name,
     pub(super) outcome: bool,
     pub(super) until: Ms,
 }
@@ -171,9 +171,9 @@
                 }
                 let writes = vec![Write::Append(list, json!(key))];
                 let n = match self.db.outcome(&key) {
-                    Outcome::NotKept => self.db.add_commit(&key, sum, writes, json!(["ok"])),
+                    Outcome::NotKept => self.db.add_commit(&key, &sum, writes, json!(["ok"])),
                     Outcome::Running(n) => n,
-                    o => return Some(self.told(sum, o)),
+                    o => return Some(self.told(&sum, o)),
                 };
                 if w.has_bug("early-ack") {
                     return Some(SrvRep { rows: Some(json!(["ok"])), ..self.rep() });
@@ -193,7 +193,16 @@
                     Outcome::NotKept if seal => {
                         let n = self.db.add_seal(&key);
                         let until = now + 8_000;
-                        self.waits.push(Wait { n, fence, to: from, rid, key, sum: 0, outcome: true, until });
+                        self.waits.push(Wait {
+                            n,
+                            fence,
+                            to: from,
+                            rid,
+                            key,
+                            sum: Name::default(),
+                            outcome: true,
+                            until,
+                        });
                         return None;
                     }
                     o => self.outcome(o),
@@ -210,7 +219,7 @@
         };
         SrvRep { outcome: Some(word), rows: Some(rows), ..self.rep() }
     }
-    pub(super) fn told(&self, sum: u64, o: Outcome) -> SrvRep {
+    pub(super) fn told(&self, sum: &str, o: Outcome) -> SrvRep {
         match o {
             Outcome::Kept { sum: had, .. } if had != sum => self.no("try-reused"),
             Outcome::Kept { rows, .. } => SrvRep { rows: Some(rows), ..self.rep() },
--- a/crates/qh-lab/src/sim/server_tick.rs
+++ b/crates/qh-lab/src/sim/server_tick.rs
@@ -17,7 +17,7 @@
             let o = self.db.outcome(&x.key);
             let r = match (done, x.outcome) {
                 (true, true) => self.outcome(o),
-                (true, false) => self.told(x.sum, o),
+                (true, false) => self.told(&x.sum, o),
                 (false, _) => self.no("in-doubt"),
             };
             w.send(me, x.to, Msg::Reply(x.rid, r));
--- a/crates/qh-lab/src/stand/calls.rs
+++ b/crates/qh-lab/src/stand/calls.rs
@@ -165,7 +165,7 @@
 
 /// Keeps an order under its try key, once, and answers when two servers hold it.
 async fn keep(s: &Stand, b: &Value, writes: Vec<crate::db::Write>, rows: Value) -> Result<Value, Cut> {
-    let (key, sum, f) = (txt(b, "try"), num(b, "sum"), num(b, "fence"));
+    let (key, sum, f) = (txt(b, "try"), txt(b, "sum"), num(b, "fence"));
     s.faults.storage().await;
     if let Err(v) = leads(s, f) {
         return Ok(v);
@@ -187,7 +187,7 @@
     Ok(told(s, sum, s.with(|d| d.outcome(key))))
 }
 
-fn told(s: &Stand, sum: u64, o: Outcome) -> Value {
+fn told(s: &Stand, sum: &str, o: Outcome) -> Value {
     match o {
         Outcome::Kept { sum: had, .. } if had != sum => {
             s.bad("try-reused", "the try was kept with other content")
