--- a/crates/qh-data/src/lookup.rs
+++ b/crates/qh-data/src/lookup.rs
@@ -133,6 +133,12 @@
                         c.row.note_leaving(true);
                         continue;
                     }
+                    // It was not run there: others may answer, or this one in a moment.
+                    if r.is(crate::server::STARTING) {
+                        v.note(format!("{name} is starting"));
+                        why = Code::Stale.bare();
+                        continue;
+                    }
                     return Err(declined(&r));
                 }
                 let Some(good) = r.good(&name) else {
--- a/crates/qh-data/src/order.rs
+++ b/crates/qh-data/src/order.rs
@@ -188,18 +188,33 @@
 /// An order-side read outside a transaction: at the primary, under the lease, under the lead's fence.
 pub async fn side_read(n: &Arc<Node>, v: &mut Visit) -> Answer {
     let (bp, rule) = v.plan.blueprint.clone().zip(v.rule.clone()).ok_or_else(|| Code::NoRule.bare())?;
-    let (mut loan, fence) = to_primary(n, v).await?;
-    let q: (&'static str, Value) = call::run(&loan.link().id.clone(), v.text(), &v.body.params);
-    match ask(n, loan, q, owe(&bp, &rule), n.next_id(), v.until).await {
-        Asked::Reply(r, loan) => {
-            loan.give_back();
-            read_reply(n, v, fence, &r)
+    loop {
+        let (mut loan, fence) = to_primary(n, v).await?;
+        let q: (&'static str, Value) = call::run(&loan.link().id.clone(), v.text(), &v.body.params);
+        match ask(n, loan, q, owe(&bp, &rule), n.next_id(), v.until).await {
+            Asked::Reply(r, loan) => {
+                loan.give_back();
+                if not_yet(v, &r).await {
+                    continue;
+                }
+                return read_reply(n, v, fence, &r);
+            }
+            Asked::Broke(b) => return Err(b.breakdown().retry(500)),
+            Asked::Silent => return Err(Code::DeadlinePassed.bare().retry(500)),
         }
-        Asked::Broke(b) => Err(b.breakdown().retry(500)),
-        Asked::Silent => Err(Code::DeadlinePassed.bare().retry(500)),
     }
 }
 
+/// The server did not run the statement, as it is starting: true after a moment, if there is time to ask again.
+pub async fn not_yet(v: &mut Visit, r: &Reply) -> bool {
+    let again = r.is(server::STARTING) && v.left() > 2 * LAST;
+    if again {
+        v.note(format!("{} is starting", v.ran.server));
+        tokio::time::sleep(Duration::from_millis(LAST)).await;
+    }
+    again
+}
+
 /// A read at the primary counts only if the node still holds its lease and the lead has not changed (§5.6).
 pub fn read_reply(n: &Node, v: &Visit, fence: Fence, r: &Reply) -> Answer {
     if r.error.is_some() {
--- a/crates/qh-data/src/server.rs
+++ b/crates/qh-data/src/server.rs
@@ -31,6 +31,8 @@
 pub const FENCE_LOW: &str = "fence-low";
 pub const NOT_PRIMARY: &str = "not-primary";
 pub const LEAVING: &str = "leaving";
+/// The server leads but does not show all of its log yet: the statement was not run (§3.2).
+pub const STARTING: &str = "starting";
 /// The commit is in the log but not yet on a second server: neither kept nor not.
 pub const IN_DOUBT: &str = "in-doubt";
 
--- a/crates/qh-data/src/txn.rs
+++ b/crates/qh-data/src/txn.rs
@@ -2,7 +2,7 @@
 use crate::carry::{Asked, ask};
 use crate::lookup::{declined, owe};
 use crate::node::Node;
-use crate::order::{finish, read_reply, to_primary};
+use crate::order::{finish, not_yet, read_reply, to_primary};
 use crate::pool::Loan;
 use crate::server::{Try, call};
 use crate::session::Session;
@@ -75,10 +75,16 @@
     let bp = v.plan.blueprint.clone().ok_or_else(|| Code::NoBlueprint.bare())?;
     let Some(mut loan) = o.loan.take() else { return Err(Code::TransactionLost.bare()) };
     v.ran.district = loan.row().district();
-    let q = call::run(&loan.link().id.clone(), v.text(), &v.body.params);
     let sum = content_sum(&o.sum, v.text(), &v.body.params);
+    let asked = loop {
+        let q = call::run(&loan.link().id.clone(), v.text(), &v.body.params);
+        match ask(n, loan, q, owe(&bp, &o.rule), n.next_id(), v.until).await {
+            Asked::Reply(r, l) if not_yet(v, &r).await => loan = l,
+            a => break a,
+        }
+    };
     // A transaction is never carried elsewhere: its breakdown ends it, and nothing of it was kept.
-    match ask(n, loan, q, owe(&bp, &o.rule), n.next_id(), v.until).await {
+    match asked {
         Asked::Reply(r, loan) => {
             let a = read_reply(n, v, o.fence, &r);
             let declined = r.error.as_ref().is_some_and(|e| e.code == "statement");
--- a/crates/qh-lab/tests/kit/mod.rs
+++ b/crates/qh-lab/tests/kit/mod.rs
@@ -99,6 +99,14 @@
     pub fn leave(&self, i: usize) {
         *self.stands[i].state.lock().unwrap() = (qh_core::State::Leaving, now());
     }
+    /// A primary that does not show all of its log.
+    pub fn starting(&self, i: usize, on: bool) {
+        self.stands[i].with(|d| d.hide(on));
+    }
+    /// How often the stand-in declined a read as it is starting.
+    pub fn declined(&self, i: usize) -> u64 {
+        self.stands[i].declined.load(std::sync::atomic::Ordering::SeqCst)
+    }
     /// What the primary holds under a key.
     pub fn value(&self, key: &str) -> Value {
         self.stands[0].with(|d| d.kv.get(key).cloned().unwrap_or(Value::Null))
