--- a/crates/qh-core/src/http.rs
+++ b/crates/qh-core/src/http.rs
@@ -1,4 +1,6 @@
 //! One HTTP/1.1+JSON call at the connection level, so that a link's identity is ours (§4.3).
+pub use crate::rt::OnBreak;
+use crate::rt::Pipe;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::SendRequest;
@@ -49,11 +51,15 @@
 
 /// An open HTTP link.
 pub struct Wire {
-    tx: SendRequest<Full<Bytes>>,
-    host: String,
+    way: Way,
     flags: Arc<Flags>,
 }
 
+enum Way {
+    Real { tx: SendRequest<Full<Bytes>>, host: String },
+    Virtual(Arc<dyn Pipe>),
+}
+
 /// Tells a close that says something of the peer from one that does not.
 #[derive(Default)]
 struct Flags {
@@ -63,10 +69,6 @@
     asking: AtomicBool,
 }
 
-/// Called when an idle link breaks with an error of the kernel's: a reset, or a time-out of its own probes.
-/// An orderly close is none (§4.5).
-pub type OnBreak = Box<dyn FnOnce(std::io::Error) + Send>;
-
 /// Says that the link's end will be of our making.
 #[derive(Clone)]
 pub struct Ours(Arc<Flags>);
@@ -80,6 +82,9 @@
 impl Drop for Wire {
     fn drop(&mut self) {
         self.flags.ours.store(true, Ordering::SeqCst);
+        if let Way::Virtual(p) = &self.way {
+            p.close();
+        }
     }
 }
 
@@ -88,23 +93,32 @@
         Self::open_with(addr, w, Box::new(|_| ())).await
     }
 
+    /// `on_break` is called when the idle link breaks with an error of the kernel's: a reset, or a time-out of its
+    /// own probes. An orderly close is none (§4.5).
     pub async fn open_with(addr: &str, w: Option<Watch>, on_break: OnBreak) -> std::io::Result<Self> {
+        let flags = Arc::new(Flags::default());
+        let f = flags.clone();
+        let on_break: OnBreak = Box::new(move |e| {
+            if !f.ours.load(Ordering::SeqCst) && !f.asking.load(Ordering::SeqCst) {
+                on_break(e);
+            }
+        });
+        if let Some(world) = crate::rt::world() {
+            let way = Way::Virtual(world.open(addr, on_break).await?);
+            return Ok(Self { way, flags });
+        }
         let s = TcpStream::connect(addr).await?;
         match w {
             Some(w) => s.watch(w)?,
             None => s.set_nodelay(true)?,
         }
         let (tx, conn) = hyper::client::conn::http1::handshake(TokioIo::new(s)).await.map_err(other)?;
-        let flags = Arc::new(Flags::default());
-        let f = flags.clone();
         tokio::spawn(async move {
-            let end = conn.await;
-            let told = f.ours.load(Ordering::SeqCst) || f.asking.load(Ordering::SeqCst);
-            if let Some(e) = end.err().filter(|_| !told) {
+            if let Err(e) = conn.await {
                 on_break(io_of(e));
             }
         });
-        Ok(Self { tx, host: addr.to_owned(), flags })
+        Ok(Self { way: Way::Real { tx, host: addr.to_owned() }, flags })
     }
 
     pub fn ours(&self) -> Ours {
@@ -112,7 +126,10 @@
     }
 
     pub fn is_closed(&self) -> bool {
-        self.tx.is_closed()
+        match &self.way {
+            Way::Real { tx, .. } => tx.is_closed(),
+            Way::Virtual(p) => p.is_closed(),
+        }
     }
 
     /// Sends `body` and reads the whole JSON answer. An error leaves the link unfit for use.
@@ -126,18 +143,24 @@
     }
 
     async fn ask_it(&mut self, call: &Call<'_>) -> std::io::Result<(u16, Value)> {
-        self.tx.ready().await.map_err(other)?;
+        let (tx, host) = match &mut self.way {
+            Way::Real { tx, host } => (tx, host),
+            Way::Virtual(p) => {
+                return p.ask(call.path.to_owned(), call.body.clone(), call.token.map(str::to_owned)).await;
+            }
+        };
+        tx.ready().await.map_err(other)?;
         let mut b = hyper::Request::builder()
             .method(call.method)
             .uri(call.path)
-            .header("host", &self.host)
+            .header("host", host.as_str())
             .header("content-type", "application/json");
         if let Some(t) = call.token {
             b = b.header("authorization", format!("Bearer {t}"));
         }
         let body = if call.body.is_null() { Bytes::new() } else { Bytes::from(call.body.to_string()) };
         let req = b.body(Full::new(body)).map_err(other)?;
-        let rep = self.tx.send_request(req).await.map_err(io_of)?;
+        let rep = tx.send_request(req).await.map_err(io_of)?;
         let st = rep.status().as_u16();
         let buf = Limited::new(rep.into_body(), REPLY_MAX).collect().await.map_err(other)?.to_bytes();
         let v = if buf.is_empty() { Value::Null } else { serde_json::from_slice(&buf).map_err(other)? };
@@ -177,7 +200,7 @@
 
 /// A single call over a link of its own.
 pub async fn once(addr: &str, call: &Call<'_>, within: Duration) -> std::io::Result<(u16, Value)> {
-    tokio::time::timeout(within, async { Wire::open(addr, None).await?.ask(call).await })
+    crate::rt::timeout(within, async { Wire::open(addr, None).await?.ask(call).await })
         .await
         .unwrap_or_else(|_| Err(std::io::Error::new(std::io::ErrorKind::TimedOut, "no answer in time")))
 }
--- a/crates/qh-core/src/lib.rs
+++ b/crates/qh-core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod msg;
 pub mod objects;
 pub mod rng;
+pub mod rt;
 pub mod settings;
 pub mod wire;
 pub mod words;
--- a/crates/qh-core/src/wire.rs
+++ b/crates/qh-core/src/wire.rs
@@ -61,6 +61,15 @@
         R: BorshDeserialize,
     {
         let gone = |e: std::io::Error| Code::Unreachable.because(format_args!("{addr}: {e}"));
+        if let Some(w) = crate::rt::world() {
+            let work = async {
+                let back = w.call(addr, borsh::to_vec(q).map_err(gone)?).await.map_err(gone)?;
+                borsh::from_slice(&back).map_err(|e| gone(bad(e)))
+            };
+            return crate::rt::timeout(within, work).await.unwrap_or_else(|_| {
+                Err(Code::Unreachable.because(format_args!("{addr}: no answer in time")))
+            });
+        }
         let work = async {
             let kept = self.idle.lock().unwrap().get_mut(addr).and_then(Vec::pop);
             if let Some(mut s) = kept
--- a/crates/qh-data/src/carry.rs
+++ b/crates/qh-data/src/carry.rs
@@ -6,6 +6,7 @@
 use crate::server::{Reply, call};
 use crate::verdict::Verdict;
 use qh_core::http::post;
+use qh_core::rt;
 use qh_core::{Ms, now};
 use serde_json::Value;
 use std::sync::Arc;
@@ -40,7 +41,7 @@
     let node = n.clone();
     n.rt.spawn(async move { watch(node, loan, c, owe, id, tx).await });
     let left = Duration::from_millis(until.saturating_sub(now()));
-    match tokio::time::timeout(left, rx).await {
+    match rt::timeout(left, rx).await {
         Ok(Ok(Ok((r, l)))) => Asked::Reply(r, l),
         Ok(Ok(Err(b))) => Asked::Broke(b),
         _ => Asked::Silent,
@@ -57,10 +58,7 @@
     let got = {
         let asking = loan.link().ask(c);
         tokio::pin!(asking);
-        let first = tokio::select! {
-            r = &mut asking => Some(r),
-            () = tx.closed() => None,
-        };
+        let first = rt::first(&mut asking, tx.closed()).await.ok();
         match first {
             Some(r) => Some(r),
             None => {
@@ -71,7 +69,7 @@
                     let _ = post(&addr, path, &body, Duration::from_secs(2)).await;
                 });
                 let most = Duration::from_millis(owe.query_timeout + ABANDON_MORE);
-                tokio::time::timeout(most, &mut asking).await.ok()
+                rt::timeout(most, &mut asking).await.ok()
             }
         }
     };
--- a/crates/qh-data/src/link.rs
+++ b/crates/qh-data/src/link.rs
@@ -2,6 +2,7 @@
 use crate::server::{Reply, call};
 use crate::session::{Context, Texts};
 use qh_core::http::{Call, OnBreak, Ours, Watch, Wire};
+use qh_core::rt;
 use qh_core::{Code, Ms, Name, now};
 use serde_json::Value;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -67,7 +68,7 @@
     /// A server that does not take it in time has the link dropped, as its context is not known then.
     pub async fn wear(&mut self, ctx: &Context, until: Ms) -> Result<Option<Reply>, LinkBroke> {
         let left = Duration::from_millis(until.saturating_sub(now()));
-        tokio::time::timeout(left, self.change(ctx))
+        rt::timeout(left, self.change(ctx))
             .await
             .unwrap_or_else(|_| Err(LinkBroke::Io(std::io::ErrorKind::TimedOut.into())))
     }
--- a/crates/qh-data/src/lookup.rs
+++ b/crates/qh-data/src/lookup.rs
@@ -8,6 +8,7 @@
 use crate::verdict::Verdict;
 use crate::visit::{Answer, Visit};
 use qh_core::blueprint::{Blueprint, Rule};
+use qh_core::rt;
 use qh_core::{Code, Ms, Name, Role, now};
 use std::sync::Arc;
 
@@ -84,7 +85,7 @@
                 return Err(why.retry(500));
             }
             tried.clear();
-            tokio::time::sleep(std::time::Duration::from_millis(40)).await;
+            rt::sleep(std::time::Duration::from_millis(40)).await;
             continue;
         };
         let name = c.row.name.clone();
--- a/crates/qh-data/src/node.rs
+++ b/crates/qh-data/src/node.rs
@@ -6,17 +6,16 @@
 use crate::visit::{Answer, Body, Good, Ran, Visit, What, read_body};
 use qh_core::blueprint::Judges;
 use qh_core::http::post;
+use qh_core::rt;
 use qh_core::settings::NodeSettings;
 use qh_core::{Breakdown, Code, Edition, End, Name, now};
 use serde_json::{Value, json};
 use std::collections::VecDeque;
-use std::future::Future;
-use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-pub type Fut<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
+pub use rt::Fut;
 
 /// Where session contexts are kept besides this node (§6.4).
 pub trait Copies: Send + Sync {
@@ -58,13 +57,13 @@
     pub copies: Box<dyn Copies>,
     pub paths: Mutex<VecDeque<PathRow>>,
     pub counts: Counts,
-    pub rt: tokio::runtime::Handle,
+    pub rt: rt::Spawner,
     pub in_hand: AtomicU64,
     next: AtomicU64,
 }
 
 impl Node {
-    pub fn new(set: NodeSettings, copies: Box<dyn Copies>, rt: tokio::runtime::Handle) -> Arc<Node> {
+    pub fn new(set: NodeSettings, copies: Box<dyn Copies>, rt: rt::Spawner) -> Arc<Node> {
         Arc::new(Node {
             set,
             board: Board::default(),
--- a/crates/qh-data/src/order.rs
+++ b/crates/qh-data/src/order.rs
@@ -7,6 +7,7 @@
 use crate::server::{self, Reply, Try, call};
 use crate::shard::Use;
 use crate::visit::{Answer, Visit};
+use qh_core::rt;
 use qh_core::{Breakdown, Code, Fence, Ms, Name, Role};
 use serde_json::Value;
 use std::sync::Arc;
@@ -166,7 +167,7 @@
                 }
             }
         }
-        tokio::time::sleep(Duration::from_millis(50)).await;
+        rt::sleep(Duration::from_millis(50)).await;
     }
     Err(unknown())
 }
@@ -210,7 +211,7 @@
     let again = r.is(server::STARTING) && v.left() > 2 * LAST;
     if again {
         v.note(format!("{} is starting", v.ran.server));
-        tokio::time::sleep(Duration::from_millis(LAST)).await;
+        rt::sleep(Duration::from_millis(LAST)).await;
     }
     again
 }
--- a/crates/qh-data/src/pool.rs
+++ b/crates/qh-data/src/pool.rs
@@ -5,6 +5,7 @@
 use crate::shard::{Grant, Shard, Use};
 use qh_core::blueprint::Blueprint;
 use qh_core::http::Watch;
+use qh_core::rt;
 use qh_core::{Breakdown, Code, Ms, now};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -101,7 +102,7 @@
                 let left = Duration::from_millis(until.saturating_sub(now()).max(1));
                 let addr = row.addr();
                 let open = Link::open(me, &row.name, &addr, caps.watch, row.on_break());
-                let got = tokio::time::timeout(left, open).await;
+                let got = rt::timeout(left, open).await;
                 // Our own deadline is no finding of the kernel's: it counts as a late reply at most (§4.5).
                 let got = got.map_err(|_| NoLink::Late(left))?;
                 ln.link = Some(got.map_err(NoLink::Broke)?);
@@ -118,7 +119,7 @@
                 return Err(Code::HoldingFull.bare().retry(200));
             }
             let left = until.saturating_sub(now());
-            tokio::time::timeout(Duration::from_millis(left), woken)
+            rt::timeout(Duration::from_millis(left), woken)
                 .await
                 .map_err(|_| Code::LinksBusy.bare().retry(200))
         };
--- a/crates/qh-data/src/probe.rs
+++ b/crates/qh-data/src/probe.rs
@@ -5,8 +5,9 @@
 use crate::server::{Reply, call};
 use crate::verdict::Verdict;
 use qh_core::http::{Call, Wire};
+use qh_core::rt;
 use qh_core::{Ms, Role, State, now};
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,7 +19,7 @@
 
 /// Asks for ever; one task a server.
 pub async fn run(n: Arc<Node>) {
-    let mut tasks: HashMap<qh_core::Name, tokio::task::JoinHandle<()>> = HashMap::new();
+    let mut tasks: BTreeMap<qh_core::Name, rt::Task> = BTreeMap::new();
     loop {
         for row in n.board.rows() {
             tasks.entry(row.name.clone()).or_insert_with(|| n.rt.spawn(watch(n.clone(), row.clone())));
@@ -43,7 +44,7 @@
                 row.pool.shut(false);
             }
         }
-        tokio::time::sleep(Duration::from_millis(50)).await;
+        rt::sleep(Duration::from_millis(50)).await;
     }
 }
 
@@ -60,7 +61,7 @@
         }
         row.pool.sweep();
         let gap = if leads { PRIMARY } else { OTHER };
-        tokio::time::sleep(Duration::from_millis((asked + gap).saturating_sub(now()).max(20))).await;
+        rt::sleep(Duration::from_millis((asked + gap).saturating_sub(now()).max(20))).await;
     }
 }
 
@@ -77,7 +78,7 @@
         *wire = Some((w, addr));
         Reply::read(v).ok_or_else(|| std::io::Error::other("not a STATUS reply"))
     };
-    tokio::time::timeout(WITHIN, work).await.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))
+    rt::timeout(WITHIN, work).await.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))
 }
 
 fn heard(n: &Node, row: &ServerRow, r: Reply, asked: Ms) {
--- a/crates/qh-data/src/session.rs
+++ b/crates/qh-data/src/session.rs
@@ -1,6 +1,6 @@
 //! Sessions (§4.2): what an origin was promised, verbatim, under a rising edition.
 use qh_core::{Edition, Ms, Name, hash64, messages};
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 
 /// Settings and prepared texts one session may hold.
@@ -74,7 +74,7 @@
 
 /// The node's sessions, in shards.
 pub struct Sessions {
-    shards: Vec<Mutex<HashMap<Name, Held>>>,
+    shards: Vec<Mutex<BTreeMap<Name, Held>>>,
 }
 
 impl Default for Sessions {
@@ -84,7 +84,7 @@
 }
 
 impl Sessions {
-    fn shard(&self, id: &str) -> &Mutex<HashMap<Name, Held>> {
+    fn shard(&self, id: &str) -> &Mutex<BTreeMap<Name, Held>> {
         &self.shards[hash64(&[id.as_bytes()]) as usize % SHARDS]
     }
     pub fn get(&self, id: &str) -> Option<Held> {
--- a/crates/qh-lab/src/aftermath.rs
+++ b/crates/qh-lab/src/aftermath.rs
@@ -4,6 +4,7 @@
 use crate::load::{Caller, World};
 use crate::scenario::{Opts, lab, status};
 use crate::stand::journal;
+use qh_core::rt;
 use serde_json::{Value, json};
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -27,7 +28,7 @@
             if end == crate::history::End::Kept || sealed {
                 break;
             }
-            tokio::time::sleep(Duration::from_millis(200)).await;
+            rt::sleep(Duration::from_millis(200)).await;
         }
     }
 }
--- a/crates/qh-lab/src/calls.rs
+++ b/crates/qh-lab/src/calls.rs
@@ -2,6 +2,7 @@
 use crate::history::{End, ReadRow};
 use crate::load::{Caller, ORDER_MS};
 use qh_core::now;
+use qh_core::rt;
 use serde_json::{Value, json};
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -25,7 +26,7 @@
             if !matches!(end, End::Unknown | End::Lost) || self.w.stop.load(Ordering::Relaxed) {
                 break;
             }
-            tokio::time::sleep(Duration::from_millis(200)).await;
+            rt::sleep(Duration::from_millis(200)).await;
             end = self.ask_after(&key).await;
         }
     }
@@ -81,7 +82,7 @@
                 return self.told(key, now(), &not_sent());
             }
             let pause = self.rng.below(40);
-            tokio::time::sleep(Duration::from_millis(pause)).await;
+            rt::sleep(Duration::from_millis(pause)).await;
         }
         let asked = now();
         let commit = json!({"session": id, "edition": e, "try": key, "deadline_ms": ORDER_MS});
--- a/crates/qh-lab/src/platform.rs
+++ b/crates/qh-lab/src/platform.rs
@@ -7,6 +7,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use qh_core::http::{Call, once, post};
+use qh_core::rt;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
@@ -26,11 +27,11 @@
     let lst = TcpListener::bind(addr).await?;
     let st = State { nodes: nodes.into_iter().map(|(d, a)| (d, a, false)).collect(), ..Default::default() };
     let st = Arc::new(Mutex::new(st));
-    tokio::spawn(ask_ready(st.clone()));
+    rt::spawn(ask_ready(st.clone()));
     loop {
         let Ok((sock, _)) = lst.accept().await else { continue };
         let st = st.clone();
-        tokio::spawn(async move {
+        rt::spawn(async move {
             let svc = service_fn(move |r| answer(st.clone(), r));
             let _ =
                 hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(sock), svc).await;
@@ -43,13 +44,13 @@
         let doors: Vec<String> = st.lock().unwrap().nodes.iter().map(|n| n.1.clone()).collect();
         for d in doors {
             let st = st.clone();
-            tokio::spawn(async move {
+            rt::spawn(async move {
                 let c = Call { method: "GET", path: "/ready", body: &Value::Null, token: None };
                 let ok = once(&d, &c, Duration::from_millis(400)).await.is_ok_and(|(s, _)| s == 200);
                 st.lock().unwrap().nodes.iter_mut().filter(|n| n.1 == d).for_each(|n| n.2 = ok);
             });
         }
-        tokio::time::sleep(Duration::from_millis(250)).await;
+        rt::sleep(Duration::from_millis(250)).await;
     }
 }
 
--- a/crates/qh-lab/src/pushing.rs
+++ b/crates/qh-lab/src/pushing.rs
@@ -4,6 +4,7 @@
 use crate::load::World;
 use crate::scenario::{op, status};
 use crate::script::{broken, marked};
+use qh_core::rt;
 use qh_core::{Code, now};
 use serde_json::json;
 use std::sync::Arc;
@@ -45,7 +46,7 @@
                 break Some(end).filter(|_| done);
             }
             at += 1;
-            tokio::time::sleep(Duration::from_millis(200)).await;
+            rt::sleep(Duration::from_millis(200)).await;
         };
         self.w.book.lock().unwrap().push_tries.push(row);
         last
--- a/crates/qh-lab/src/scenario.rs
+++ b/crates/qh-lab/src/scenario.rs
@@ -8,6 +8,7 @@
 use crate::script::{Act, Step, Who};
 use qh_core::http::{Call, once, post};
 use qh_core::now;
+use qh_core::rt;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -148,17 +149,17 @@
     let mut hit = BTreeMap::new();
     let mut faults = Vec::new();
     for s in &script {
-        tokio::time::sleep(Duration::from_millis((began + s.at).saturating_sub(now()))).await;
+        rt::sleep(Duration::from_millis((began + s.at).saturating_sub(now()))).await;
         let at = now();
         let name = act(r, &w, s, &mut hit).await;
         let word = if s.last { "final" } else { "fault" };
         faults.push((at, format!("{word} {:?} {}", s.act, name.unwrap_or_else(|| "nobody".into()))));
     }
-    tokio::time::sleep(Duration::from_millis((began + o.seconds * 1_000).saturating_sub(now()))).await;
+    rt::sleep(Duration::from_millis((began + o.seconds * 1_000).saturating_sub(now()))).await;
     w.stop.store(true, Ordering::SeqCst);
     let end = now();
     for t in tasks {
-        let _ = tokio::time::timeout(Duration::from_secs(10), t).await;
+        let _ = rt::timeout(Duration::from_secs(10), t).await;
     }
     settle(&w, o).await;
     let got = facts(&r.plan).await;
--- a/crates/qh-lab/src/stand/calls.rs
+++ b/crates/qh-lab/src/stand/calls.rs
@@ -4,6 +4,7 @@
 use super::{Stand, repl};
 use crate::db::Outcome;
 use crate::stmt::{self, Ctx, Txn};
+use qh_core::rt;
 use qh_core::{Fence, now};
 use serde_json::{Value, json};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -108,7 +109,7 @@
                 return Err(Cut);
             }
             if s.faults.one(&s.faults.mute) {
-                tokio::time::sleep(Duration::from_secs(2)).await;
+                rt::sleep(Duration::from_secs(2)).await;
             }
             if s.faults.one(&s.faults.forge) {
                 return Ok(json!({"rows": [["rolled back"]]}));
@@ -148,7 +149,7 @@
         Err(e) => return Ok(s.bad("statement", e)),
     };
     if ran.sleep_ms > 0 {
-        tokio::time::sleep(Duration::from_millis(ran.sleep_ms)).await;
+        rt::sleep(Duration::from_millis(ran.sleep_ms)).await;
     }
     if order {
         return keep(s, b, ran.writes, ran.rows).await;
@@ -212,7 +213,7 @@
         if !still || now() >= until {
             return false;
         }
-        let _ = tokio::time::timeout(Duration::from_millis(100), moved).await;
+        let _ = rt::timeout(Duration::from_millis(100), moved).await;
     }
 }
 
--- a/crates/qh-lab/src/stand/faults.rs
+++ b/crates/qh-lab/src/stand/faults.rs
@@ -1,4 +1,5 @@
 //! What can be made to go wrong inside a stand-in (§9.2).
+use qh_core::rt;
 use serde::{Deserialize, Serialize};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -94,7 +95,7 @@
             if !self.is(f) {
                 return;
             }
-            let _ = tokio::time::timeout(Duration::from_millis(200), n).await;
+            let _ = rt::timeout(Duration::from_millis(200), n).await;
         }
     }
     /// Before a statement touches storage.
@@ -102,7 +103,7 @@
         self.while_up(&self.stall).await;
         let ms = self.slow_ms.load(Ordering::SeqCst);
         if ms > 0 {
-            tokio::time::sleep(Duration::from_millis(ms)).await;
+            rt::sleep(Duration::from_millis(ms)).await;
         }
     }
 }
--- a/crates/qh-lab/src/stand/mod.rs
+++ b/crates/qh-lab/src/stand/mod.rs
@@ -9,6 +9,7 @@
 use crate::db::{Db, Line};
 use faults::Faults;
 use journal::{Entry, Journal};
+use qh_core::rt;
 use qh_core::{Beat, Labels, Position, Role, Stamp, State, now};
 use serde_json::{Value, json};
 use std::io::Write as _;
@@ -48,9 +49,7 @@
         let mut db = Db::new(&args.name);
         let (mut file, mut journal) = (None, Journal::default());
         // The boot number rises with each start: from the wall clock, as only this server's own order matters.
-        let boot = std::time::SystemTime::now()
-            .duration_since(std::time::UNIX_EPOCH)
-            .map_or(1, |d| d.as_millis() as u64);
+        let boot = rt::wall_ms();
         if let Some(dir) = &args.data {
             std::fs::create_dir_all(dir)?;
             let path = dir.join(format!("{}.log", args.name));
@@ -156,7 +155,7 @@
     if let Some(at) = &s.args.shown {
         crate::relay::run(at, s.args.addr.clone(), s.faults.clone()).await?;
     }
-    tokio::spawn(repl::follow(s.clone()));
-    tokio::spawn(repl::beats(s.clone()));
+    rt::spawn(repl::follow(s.clone()));
+    rt::spawn(repl::beats(s.clone()));
     net::serve(s, lst).await
 }
--- a/crates/qh-lab/tests/kit/mod.rs
+++ b/crates/qh-lab/tests/kit/mod.rs
@@ -57,7 +57,7 @@
             log: "off".into(),
             threads: 1,
         };
-        let node = Node::new(set, Box::new(Alone::default()), tokio::runtime::Handle::current());
+        let node = Node::new(set, Box::new(Alone::default()), qh_core::rt::Spawner::here());
         for s in &stands {
             node.board.beat(s.beat());
         }
--- a/crates/qhd/src/chainc.rs
+++ b/crates/qhd/src/chainc.rs
@@ -1,4 +1,5 @@
 //! Writes to the chain's head, sent again under the same key until they are answered (§5.2).
+use qh_core::rt;
 use qh_core::wire::Caller;
 use qh_core::{Breakdown, Code, Name, now};
 use qh_state::{Answer, Ask, Cmd, KeeperStatus, Knock, Knocked, Rep, View};
@@ -82,7 +83,7 @@
             if now() + 50 >= until {
                 return Err(why.unknown().retry(500));
             }
-            tokio::time::sleep(Duration::from_millis(50)).await;
+            rt::sleep(Duration::from_millis(50)).await;
             to = self.head();
         }
     }
--- a/crates/qhd/src/dutyd.rs
+++ b/crates/qhd/src/dutyd.rs
@@ -1,6 +1,7 @@
 //! Duties of this node (§6.3): looks after the leads of the groups that fall to it.
 use crate::{Fleet, groupd};
 use qh_control::watch::{Count, Eye, Need, Sight, dead, need};
+use qh_core::rt;
 use qh_core::{Lead, Ms, Name, State, now};
 use qh_mesh::{NodeAsk, NodeRep};
 use qh_state::store::duty_of;
@@ -50,7 +51,7 @@
     since: Ms,
     wrong: Option<Ms>,
     rest_until: Ms,
-    task: Option<tokio::task::JoinHandle<()>>,
+    task: Option<rt::Task>,
     fenced_at: Ms,
     told_at: Ms,
 }
@@ -72,7 +73,7 @@
 pub async fn run(f: Arc<Fleet>) {
     let mut groups: BTreeMap<Name, Group> = BTreeMap::new();
     loop {
-        tokio::time::sleep(Duration::from_millis(200)).await;
+        rt::sleep(Duration::from_millis(200)).await;
         if !f.node.board.has_lease() || f.node.board.is_stopping() {
             continue;
         }
@@ -111,7 +112,7 @@
     }
     st.told_at = now();
     let (f, ask, owner) = (f.clone(), NodeAsk::Suspect { group: g.clone(), server }, owner.clone());
-    tokio::spawn(async move { f.mesh.ask(&owner, ask).await });
+    rt::spawn(async move { drop(f.mesh.ask(&owner, ask).await) });
 }
 
 fn sight(f: &Fleet, g: &Name, st: &mut Group) -> Sight {
@@ -179,7 +180,7 @@
         planned,
         want,
     };
-    st.task = Some(tokio::spawn(groupd::promote(f.clone(), plan)));
+    st.task = Some(rt::spawn(groupd::promote(f.clone(), plan)));
 }
 
 /// Asks the other nodes what they see of the lead's server: one node that is cut off deposes nobody.
--- a/crates/qhd/src/feed.rs
+++ b/crates/qhd/src/feed.rs
@@ -2,6 +2,7 @@
 use crate::Fleet;
 use qh_core::blueprint::Blueprint;
 use qh_core::now;
+use qh_core::rt;
 use qh_data::board::Plan;
 use qh_state::terms::{FEED, safe};
 use qh_state::{Ask, Rep, Store};
@@ -66,7 +67,7 @@
             had = has;
         }
         let gap = if news.is_some() { FEED } else { 60 };
-        tokio::time::sleep(Duration::from_millis((asked + gap).saturating_sub(now()).max(20))).await;
+        rt::sleep(Duration::from_millis((asked + gap).saturating_sub(now()).max(20))).await;
     }
 }
 
--- a/crates/qhd/src/groupd.rs
+++ b/crates/qhd/src/groupd.rs
@@ -2,6 +2,7 @@
 use crate::Fleet;
 use qh_control::promotion::{In, Out, Plan, Promotion};
 use qh_core::http::post;
+use qh_core::rt;
 use qh_core::{Code, Fence, Name, now};
 use qh_data::platform::{self, Promoted};
 use qh_state::store::duty_of;
@@ -24,7 +25,7 @@
     let mut going: BTreeSet<String> = BTreeSet::new();
     act(&f, &plan, outs, &tx, &mut going);
     while !p.over() {
-        let i = tokio::time::timeout(Duration::from_millis(50), rx.recv()).await;
+        let i = rt::timeout(Duration::from_millis(50), rx.recv()).await;
         let i = match i {
             Ok(Some((what, i))) => {
                 going.remove(&what);
@@ -52,7 +53,7 @@
         };
         if going.insert(what.clone()) {
             let (f, plan, tx) = (f.clone(), plan.clone(), tx.clone());
-            tokio::spawn(async move {
+            rt::spawn(async move {
                 let i = one(&f, &plan, o).await;
                 let _ = tx.send((what, i));
             });
--- /dev/null
+++ b/crates/qhd/src/lib.rs
@@ -0,0 +1,62 @@
+//! A node put together (§2, §4, §6): what the planes do, driven over whatever runs it (§5.8).
+pub mod chainc;
+pub mod copies;
+pub mod desk;
+pub mod dutyd;
+pub mod feed;
+pub mod groupd;
+pub mod meshd;
+pub mod ops;
+pub mod report;
+
+use qh_core::rt;
+use qh_core::settings::NodeSettings;
+use qh_data::Node;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The node with its planes.
+pub struct Fleet {
+    pub node: Arc<Node>,
+    pub mesh: Arc<meshd::Net>,
+    pub chain: chainc::Chain,
+    pub store: std::sync::Mutex<qh_state::Store>,
+    pub duty: dutyd::Asked,
+}
+
+impl Fleet {
+    pub fn new(set: &NodeSettings) -> Arc<Fleet> {
+        let mesh = meshd::Net::new(set);
+        let copies = Box::new(copies::MeshCopies(mesh.clone()));
+        Arc::new(Fleet {
+            node: Node::new(set.clone(), copies, rt::Spawner::here()),
+            mesh,
+            chain: chainc::Chain::new(&set.keepers),
+            store: Default::default(),
+            duty: Default::default(),
+        })
+    }
+    /// Sets all its loops going.
+    pub fn go(self: &Arc<Self>) {
+        let f = self.clone();
+        rt::spawn(meshd::run(f.clone()));
+        rt::spawn(feed::run(f.clone()));
+        rt::spawn(qh_data::probe::run(f.node.clone()));
+        rt::spawn(dutyd::run(f.clone()));
+        rt::spawn(sweep(f.node.clone()));
+    }
+}
+
+pub fn open_txns(n: &Node) -> usize {
+    n.sessions.all().iter().filter(|s| s.try_lock().map_or(true, |s| s.txn.is_some())).count()
+}
+
+/// Housekeeping of sessions and transactions.
+async fn sweep(n: Arc<Node>) {
+    loop {
+        rt::sleep(Duration::from_millis(250)).await;
+        let idle = n.board.plan().blueprint.as_ref().map_or(10_000, |b| b.holding.txn_idle_ms);
+        qh_data::txn::sweep(&n, idle);
+        n.forget_idle();
+    }
+}
--- a/crates/qhd/src/main.rs
+++ b/crates/qhd/src/main.rs
@@ -1,31 +1,13 @@
-//! qhd: a node. Puts the planes together (§2, §4, §6).
+//! qhd: a node. Opens its doors, runs until it is told to stop (§2, §4, §6).
 mod args;
-mod chainc;
-mod copies;
-mod desk;
-mod dutyd;
-mod feed;
-mod groupd;
-mod meshd;
-mod ops;
-mod report;
 
 use qh_core::settings::NodeSettings;
 use qh_core::{Breakdown, Code, now};
-use qh_data::Node;
+use qhd::{Fleet, desk, meshd, open_txns};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-/// The node with its planes.
-pub struct Fleet {
-    pub node: Arc<Node>,
-    pub mesh: Arc<meshd::Net>,
-    pub chain: chainc::Chain,
-    pub store: std::sync::Mutex<qh_state::Store>,
-    pub duty: dutyd::Asked,
-}
-
 /// How long a stopping node waits for the visits in hand.
 const STOP_WITHIN: u64 = 8_000;
 
@@ -50,16 +32,10 @@
 
 async fn run(set: NodeSettings, rt: &tokio::runtime::Handle) -> Result<(), Breakdown> {
     let handle = qh_core::logs::start(&set.log).map_err(|e| Code::BadSettings.because(e))?;
-    let mesh = meshd::Net::open(&set).await?;
-    let chain = chainc::Chain::new(&set.keepers);
-    let node = Node::new(set.clone(), Box::new(copies::MeshCopies(mesh.clone())), rt.clone());
-    let fleet = Arc::new(Fleet {
-        node: node.clone(),
-        mesh: mesh.clone(),
-        chain,
-        store: Default::default(),
-        duty: Default::default(),
-    });
+    let in_use = |e| Code::PortInUse.because(format_args!("{}: {e}", set.mesh));
+    let lst = tokio::net::TcpListener::bind(&set.mesh).await.map_err(in_use)?;
+    let fleet = Fleet::new(&set);
+    let (node, mesh) = (fleet.node.clone(), fleet.mesh.clone());
     let n = node.clone();
     let door: qh_data::door::Answerer = Arc::new(move |k| {
         let n = n.clone();
@@ -73,11 +49,8 @@
     });
     let desk = qh_data::door::open(&set.desk, 1, at_desk, rt)?;
     log::info!(target: "node", "node {} in {} listens on {}", set.name, set.district, set.door);
-    rt.spawn(meshd::run(fleet.clone()));
-    rt.spawn(feed::run(fleet.clone()));
-    rt.spawn(qh_data::probe::run(node.clone()));
-    rt.spawn(dutyd::run(fleet.clone()));
-    rt.spawn(sweep(node.clone()));
+    rt.spawn(meshd::serve(fleet.clone(), lst));
+    fleet.go();
     args::wait_for_stop(&set, &handle).await;
     log::info!(target: "node", "stopping: no new visits are taken");
     node.board.stopping.store(true, Ordering::SeqCst);
@@ -93,17 +66,3 @@
     log::info!(target: "node", "stopped with {} visits in hand", node.in_hand.load(Ordering::SeqCst));
     Ok(())
 }
-
-fn open_txns(n: &Node) -> usize {
-    n.sessions.all().iter().filter(|s| s.try_lock().map_or(true, |s| s.txn.is_some())).count()
-}
-
-/// Housekeeping of sessions and transactions.
-async fn sweep(n: Arc<Node>) {
-    loop {
-        tokio::time::sleep(Duration::from_millis(250)).await;
-        let idle = n.board.plan().blueprint.as_ref().map_or(10_000, |b| b.holding.txn_idle_ms);
-        qh_data::txn::sweep(&n, idle);
-        n.forget_idle();
-    }
-}
--- a/crates/qhd/src/meshd.rs
+++ b/crates/qhd/src/meshd.rs
@@ -1,5 +1,6 @@
 //! Runs the mesh under tokio, and keeps sessions' copies over it (§6).
 use crate::{Fleet, report};
+use qh_core::rt;
 use qh_core::settings::NodeSettings;
 use qh_core::wire::{Caller, answer};
 use qh_core::{Breakdown, Code, Name, now};
@@ -9,7 +10,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::task::JoinSet;
 
 const ASK: Duration = Duration::from_millis(700);
 const LINKS: usize = 512;
@@ -18,29 +18,23 @@
     pub me: Name,
     pub mesh: Mutex<Mesh>,
     pub table: Mutex<Table>,
-    lst: Mutex<Option<TcpListener>>,
     caller: Caller,
 }
 
 impl Net {
-    pub async fn open(s: &NodeSettings) -> Result<Arc<Net>, Breakdown> {
-        let in_use = |e| Code::PortInUse.because(format_args!("{}: {e}", s.mesh));
-        let lst = TcpListener::bind(&s.mesh).await.map_err(in_use)?;
+    pub fn new(s: &NodeSettings) -> Arc<Net> {
         // A node that comes back must outrank what was said of it: its start time is its incarnation.
-        let inc = std::time::SystemTime::now()
-            .duration_since(std::time::UNIX_EPOCH)
-            .map_or(1, |d| d.as_millis() as u64);
+        let inc = rt::wall_ms();
         let (name, addr, district) =
             (s.name.as_str().into(), s.mesh.as_str().into(), s.district.as_str().into());
         let me = Rumor { name, addr, district, inc, life: Life::Alive };
         let seeds = s.seeds.iter().map(|x| x.as_str().into()).collect();
-        Ok(Arc::new(Net {
+        Arc::new(Net {
             me: me.name.clone(),
             mesh: Mutex::new(Mesh::new(me, seeds, fastrand::u64(..), now())),
             table: Mutex::default(),
-            lst: Mutex::new(Some(lst)),
             caller: Caller::default(),
-        }))
+        })
     }
     pub fn live(&self) -> Vec<(Name, Name)> {
         self.mesh.lock().unwrap().live()
@@ -55,21 +49,20 @@
     }
     /// The same question to many, side by side; whoever does not answer in time is left out.
     pub async fn ask_all(self: &Arc<Self>, nodes: Vec<Name>, ask: NodeAsk) -> Vec<(Name, Option<NodeRep>)> {
-        let mut set = JoinSet::new();
-        for n in nodes {
+        let one = |n: Name| {
             let (net, ask) = (self.clone(), ask.clone());
-            set.spawn(async move {
+            async move {
                 let r = net.ask(&n, ask).await.ok();
                 (n, r)
-            });
-        }
-        let mut out = set.join_all().await;
+            }
+        };
+        let mut out = rt::all(nodes.into_iter().map(one)).await;
         out.sort_by(|a, b| a.0.cmp(&b.0));
         out
     }
     fn send(self: &Arc<Self>, to: Name, l: Letter) {
         let net = self.clone();
-        tokio::spawn(async move {
+        rt::spawn(async move {
             let k = NodeKnock::Letter { l };
             let _ = net.caller.call::<_, NodeKnocked>(&to, &k, Duration::from_millis(400)).await;
         });
@@ -81,7 +74,7 @@
                 self.send(to, l);
             }
         });
-        tokio::time::sleep(Duration::from_millis(100)).await;
+        rt::sleep(Duration::from_millis(100)).await;
     }
 }
 
@@ -106,32 +99,36 @@
     news
 }
 
-pub async fn run(f: Arc<Fleet>) {
-    let lst = f.mesh.lst.lock().unwrap().take();
-    if let Some(lst) = lst {
-        let g = f.clone();
-        tokio::spawn(answer(lst, LINKS, move |k: NodeKnock| {
-            let f = g.clone();
-            async move {
-                match k {
-                    NodeKnock::Letter { l } => {
-                        let outs = f.mesh.mesh.lock().unwrap().take(now(), l);
-                        act(&f, outs);
-                        NodeKnocked::Taken
-                    }
-                    NodeKnock::Ask { ask } => NodeKnocked::Rep { rep: asked(&f, ask) },
-                }
-            }
-        }));
+/// What another process of the fleet sent, and the answer to it.
+pub fn knock(f: &Arc<Fleet>, k: NodeKnock) -> NodeKnocked {
+    match k {
+        NodeKnock::Letter { l } => {
+            let outs = f.mesh.mesh.lock().unwrap().take(now(), l);
+            act(f, outs);
+            NodeKnocked::Taken
+        }
+        NodeKnock::Ask { ask } => NodeKnocked::Rep { rep: asked(f, ask) },
     }
+}
+
+/// Answers other processes on the mesh address.
+pub async fn serve(f: Arc<Fleet>, lst: TcpListener) {
+    answer(lst, LINKS, move |k: NodeKnock| {
+        let f = f.clone();
+        async move { knock(&f, k) }
+    })
+    .await;
+}
+
+pub async fn run(f: Arc<Fleet>) {
     let mut round = 0u64;
     loop {
-        tokio::time::sleep(Duration::from_millis(50)).await;
+        rt::sleep(Duration::from_millis(50)).await;
         let outs = f.mesh.mesh.lock().unwrap().tick(now());
         act(&f, outs);
         round += 1;
         if round.is_multiple_of(30) {
-            tokio::spawn(crate::copies::mend(f.clone()));
+            rt::spawn(crate::copies::mend(f.clone()));
         }
     }
 }
--- a/crates/qhd/src/ops.rs
+++ b/crates/qhd/src/ops.rs
@@ -1,6 +1,7 @@
 //! Operators' calls at a node's desk, answered for the whole fleet (§8.2).
 use crate::{Fleet, report};
 use qh_core::blueprint::{Blueprint, matches};
+use qh_core::rt;
 use qh_core::{Breakdown, Code, Name};
 use qh_mesh::{NodeAsk, NodeRep};
 use qh_state::{Answer, Ask, Cmd, Machine, Rep};
@@ -223,7 +224,7 @@
         {
             return Err(why);
         }
-        tokio::time::sleep(Duration::from_millis(400)).await;
+        rt::sleep(Duration::from_millis(400)).await;
         f.chain.learn_from(&f.chain.head()).await;
         let now = f.chain.view();
         if now.machines == machines {
