--- a/crates/qh-data/src/lookup.rs
+++ b/crates/qh-data/src/lookup.rs
@@ -3,7 +3,7 @@
 use crate::carry::{Asked, Owe, ask, no_link};
 use crate::node::Node;
 use crate::pool::{Caps, NoLink, take};
-use crate::server::call;
+use crate::server::{self, call};
 use crate::shard::Use;
 use crate::verdict::Verdict;
 use crate::visit::{Answer, Visit};
@@ -130,12 +130,12 @@
             Asked::Reply(r, loan) => {
                 loan.give_back();
                 if r.error.is_some() {
-                    if r.is(crate::server::LEAVING) {
+                    if r.is(server::LEAVING) {
                         c.row.note_leaving(true);
                         continue;
                     }
                     // It was not run there: others may answer, or this one in a moment.
-                    if r.is(crate::server::STARTING) {
+                    if r.is(server::STARTING) {
                         v.note(format!("{name} is starting"));
                         why = Code::Stale.bare();
                         continue;
@@ -194,6 +194,11 @@
 /// The server's own no, in its words' kind only: its text may hold what must not be logged, so it goes to the
 /// origin alone.
 pub fn declined(r: &crate::server::Reply) -> qh_core::Breakdown {
+    // What was not run, as the server does not lead or not yet, says nothing of the statement.
+    let not_run = [server::STARTING, server::FENCE_LOW, server::NOT_PRIMARY].iter().any(|c| r.is(c));
+    if not_run {
+        return Code::NoPrimary.because("the server does not lead, or not yet; it ran nothing").retry(500);
+    }
     let text = r.error.as_ref().map_or_else(String::new, |e| format!("{} {}", e.code, e.text));
     Code::ServerDeclined.because(text)
 }
--- a/crates/qh-lab/tests/node.rs
+++ b/crates/qh-lab/tests/node.rs
@@ -187,8 +187,11 @@
     let get = json!({"text": "get l", "labels": {"db": "g1"}});
     let side = json!({"text": "get l", "labels": {"db": "g1"}, "order_side": true});
     let step = json!({"session": s["session"], "edition": s["edition"], "text": "get l"});
+    let short = json!({"text": "get l", "labels": {"db": "g1"}, "order_side": true, "deadline_ms": 60});
+    let v = k.post("/v1/lookup", short).await;
+    assert_eq!((&v["end"], &v["error"]["code"]), (&json!("nothing"), &json!(1408)), "{v}");
     let soon = async {
-        k.until("all three to have been declined", || k.declined(0) >= 3).await;
+        k.until("all three to have been declined", || k.declined(0) >= 4).await;
         k.starting(0, false);
     };
     let (a, b, c, ()) =
