--- /dev/null
+++ b/crates/qh-data/src/alone.rs
@@ -0,0 +1,23 @@
+//! Copies of a node that runs without others (§6.4).
+use crate::node::Copies;
+use crate::session::Context;
+use qh_core::rt::Fut;
+use qh_core::{Breakdown, Edition, Name};
+use std::sync::Mutex;
+
+/// Copies kept on this node alone: for tests, and while a node runs without others.
+#[derive(Default)]
+pub struct Alone {
+    held: Mutex<std::collections::BTreeMap<Name, Context>>,
+}
+
+impl Copies for Alone {
+    fn store(&self, c: Context) -> Fut<'_, Result<(), Breakdown>> {
+        self.held.lock().unwrap().insert(c.id.clone(), c);
+        Box::pin(async { Ok(()) })
+    }
+    fn find<'a>(&'a self, id: &'a str, _: Edition) -> Fut<'a, Result<Option<Context>, Breakdown>> {
+        let c = self.held.lock().unwrap().get(id).cloned();
+        Box::pin(async { Ok(c) })
+    }
+}
--- a/crates/qh-data/src/carry.rs
+++ b/crates/qh-data/src/carry.rs
@@ -2,6 +2,7 @@
 use crate::judge::Sign;
 use crate::link::LinkBroke;
 use crate::node::Node;
+pub use crate::overdue::Owe;
 use crate::pool::{Loan, NoLink};
 use crate::server::{Reply, call};
 use crate::verdict::Verdict;
@@ -10,17 +11,10 @@
 use qh_core::{Ms, now};
 use serde_json::Value;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::sync::oneshot;
 
-/// How a rule wants its replies watched.
-#[derive(Clone, Copy, Debug)]
-pub struct Owe {
-    pub timeout: Ms,
-    pub query_timeout: Ms,
-    pub long: bool,
-}
-
 /// How long an abandoned link counts after its query timeout, at most.
 const ABANDON_MORE: Ms = 5_000;
 
@@ -37,14 +31,33 @@
 /// Asks over `loan` and waits until `until`. The asking itself goes on in a task of its own, so that neither an
 /// origin that leaves nor a visit that gives up loses what the reply would tell the judges.
 pub async fn ask(n: &Arc<Node>, loan: Loan, c: (&'static str, Value), owe: Owe, id: u64, until: Ms) -> Asked {
-    let (tx, rx) = oneshot::channel();
+    ask_on(n, loan, c, owe, id, until, || None).await
+}
+
+/// The same; when the time is over, `more` may give it more.
+pub async fn ask_on(
+    n: &Arc<Node>,
+    loan: Loan,
+    c: (&'static str, Value),
+    owe: Owe,
+    id: u64,
+    mut until: Ms,
+    more: impl Fn() -> Option<Ms>,
+) -> Asked {
+    let (tx, mut rx) = oneshot::channel();
     let node = n.clone();
     n.rt.spawn(async move { watch(node, loan, c, owe, id, tx).await });
-    let left = Duration::from_millis(until.saturating_sub(now()));
-    match rt::timeout(left, rx).await {
-        Ok(Ok(Ok((r, l)))) => Asked::Reply(r, l),
-        Ok(Ok(Err(b))) => Asked::Broke(b),
-        _ => Asked::Silent,
+    loop {
+        let left = Duration::from_millis(until.saturating_sub(now()));
+        match rt::timeout(left, &mut rx).await {
+            Ok(Ok(Ok((r, l)))) => return Asked::Reply(r, l),
+            Ok(Ok(Err(b))) => return Asked::Broke(b),
+            Ok(Err(_)) => return Asked::Silent,
+            Err(_) => match more() {
+                Some(ms) => until = ms,
+                None => return Asked::Silent,
+            },
+        }
     }
 }
 
@@ -52,7 +65,7 @@
 
 async fn watch(n: Arc<Node>, mut loan: Loan, c: (&'static str, Value), owe: Owe, id: u64, mut tx: Back) {
     let row = loan.row().clone();
-    row.health.lock().unwrap().overdue.sent(now(), id, owe.timeout, owe.query_timeout, owe.long);
+    row.health.lock().unwrap().overdue.sent(now(), id, owe);
     let (lid, addr, ours) = (loan.link().id.clone(), loan.link().addr.clone(), loan.link().ours());
     let mut given_up = false;
     let got = {
@@ -122,3 +135,46 @@
         NoLink::Late(_) | NoLink::Busy(_) => {}
     }
 }
+
+/// How many visits may be carried on from a server that is silent: one for each four that come, and a stock for a
+/// stall that is not found yet. So a crowd that makes all servers slow does not multiply itself (§4.7).
+pub struct Budget(AtomicU64);
+
+const STOCK: u64 = 512;
+const SHARE: u64 = 4;
+
+impl Default for Budget {
+    fn default() -> Self {
+        Self(AtomicU64::new(STOCK * SHARE))
+    }
+}
+
+impl Budget {
+    pub fn earn(&self) {
+        let add = |n: u64| Some((n + 1).min(STOCK * SHARE));
+        let _ = self.0.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add);
+    }
+    pub fn spend(&self) -> bool {
+        self.0.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |n| n.checked_sub(SHARE)).is_ok()
+    }
+    pub fn left(&self) -> u64 {
+        self.0.load(Ordering::Relaxed) / SHARE
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn carrying_is_a_share_of_what_comes_once_the_stock_is_gone() {
+        let b = Budget::default();
+        assert_eq!((0..10_000).filter(|_| b.spend()).count() as u64, STOCK);
+        let carried = (0..400).filter(|_| {
+            b.earn();
+            b.spend()
+        });
+        assert_eq!(carried.count(), 100);
+        assert_eq!(b.left(), 0);
+    }
+}
--- a/crates/qh-data/src/lib.rs
+++ b/crates/qh-data/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod sync;
 pub mod verdict;
 
+pub mod alone;
 pub mod board;
 pub mod carry;
 pub mod door;
@@ -15,6 +16,7 @@
 pub mod newest;
 pub mod node;
 pub mod order;
+pub mod overdue;
 pub mod platform;
 pub mod pool;
 pub mod probe;
--- a/crates/qh-data/src/lookup.rs
+++ b/crates/qh-data/src/lookup.rs
@@ -1,6 +1,6 @@
 //! Carrying lookups: same district first, fresh or not at all, never outside the placement (§4.7, §4.8).
 use crate::board::ServerRow;
-use crate::carry::{Asked, Owe, ask, no_link};
+use crate::carry::{Asked, Owe, ask_on, no_link};
 use crate::node::Node;
 use crate::pool::{Caps, NoLink, take};
 use crate::server::{self, call};
@@ -14,7 +14,7 @@
 
 pub fn owe(bp: &Blueprint, r: &Rule) -> Owe {
     let query_timeout = r.query_timeout_ms.unwrap_or(bp.judges.query_timeout_ms);
-    Owe { timeout: r.timeout_ms, query_timeout, long: r.long }
+    Owe { timeout: r.timeout_ms, query_timeout, long: r.long, first: true }
 }
 
 /// One server to ask, and why it may be asked.
@@ -22,9 +22,11 @@
     row: Arc<ServerRow>,
     primary: bool,
     trial: bool,
+    /// It goes there to find out whether the server stalls (§4.5).
+    witness: bool,
 }
 
-fn choose(n: &Node, v: &Visit, tried: &[Name], room: bool, id: u64) -> Option<Choice> {
+fn choose(n: &Node, v: &Visit, tried: &[Name], (room, long): (bool, bool), id: u64) -> Option<Choice> {
     let bp = v.plan.blueprint.as_ref()?;
     let p = bp.placement(&v.ran.placement)?;
     let rows = n.board.placed(p);
@@ -43,27 +45,60 @@
             usable.iter().find(|r| !tried.contains(&r.name) && r.health.lock().unwrap().may_try())
     {
         r.health.lock().unwrap().try_with(id);
-        return Some(Choice { row: (*r).clone(), primary: false, trial: true });
+        return Some(Choice { row: (*r).clone(), primary: false, trial: true, witness: false });
     }
     let good: Vec<_> = usable.iter().filter(|r| r.health.lock().unwrap().may_serve()).collect();
+    // A first visit may be a witness, if there is time to go elsewhere.
+    let doubtful = |r: &&&&Arc<ServerRow>| r.health.lock().unwrap().overdue.wants_witness(now());
+    if room
+        && tried.is_empty()
+        && !long
+        && let Some(r) = good.iter().find(doubtful)
+    {
+        return Some(Choice { row: (**r).clone(), primary: false, trial: false, witness: true });
+    }
+    let cap = bp.links.per_replica as usize;
     let best = good.iter().filter(|r| !tried.contains(&r.name)).min_by_key(|r| {
         let owing = r.health.lock().unwrap().overdue.owing();
-        (near(r), owing, fastrand::u8(..))
+        let (live, idle) = r.pool.shard.count();
+        (idle == 0 && live >= cap, near(r), owing, fastrand::u8(..))
     });
     if let Some(r) = best {
-        return Some(Choice { row: (**r).clone(), primary: false, trial: false });
+        return Some(Choice { row: (**r).clone(), primary: false, trial: false, witness: false });
     }
     // None is left: the primary, if the placement holds it, under a share of its links (§4.7).
     rows.iter().find(|r| is_lead(r) && !r.leaving() && !tried.contains(&r.name)).map(|r| Choice {
         row: r.clone(),
         primary: true,
         trial: false,
+        witness: false,
     })
 }
 
+/// A witness goes elsewhere after this.
+const WITNESS: Ms = 400;
+
 /// The share of the time one server gets before the visit goes elsewhere as well.
-fn patience(v: &Visit, long: bool, last: bool) -> Ms {
-    if long || last { v.until } else { now() + (v.left() / 3).max(50).min(v.left()) }
+fn patience(v: &Visit, long: bool, c: &Choice) -> Ms {
+    let share = (v.left() / 3).max(50).min(v.left());
+    match (long || c.primary, c.witness) {
+        (true, _) => v.until,
+        (_, true) => now() + share.min(WITNESS),
+        _ => now() + share,
+    }
+}
+
+/// A visit whose time at a server is over stays there while the server answers others: then it is the visit that is
+/// long, and would be elsewhere too (§4.5). It goes on as soon as the server falls silent, or while the node's budget
+/// for carrying is spent stays all the same (§4.7).
+fn stay(n: &Node, c: &Choice, till: Ms) -> Option<Ms> {
+    const STEP: Ms = 250;
+    let left = till.saturating_sub(now());
+    if left < 20 {
+        return None;
+    }
+    let answers = c.row.health.lock().unwrap().overdue.answered_within(now(), STEP);
+    (!c.trial && !c.witness && (answers || !n.carries.spend())).then(|| now() + left.min(STEP))
 }
 
 pub async fn lookup(n: &Arc<Node>, v: &mut Visit) -> Answer {
@@ -75,9 +110,10 @@
     let mut tried: Vec<Name> = Vec::new();
     let mut why = Code::AllSetAside.bare();
     let mut rounds = 0;
+    n.carries.earn();
     while v.left() > 0 {
         let ask_id = n.next_id();
-        let Some(c) = choose(n, v, &tried, v.left() > rule.timeout_ms / 2, ask_id) else {
+        let Some(c) = choose(n, v, &tried, (v.left() > rule.timeout_ms / 2, rule.long), ask_id) else {
             // Everyone was asked. A stale or busy answer may be better in a moment; a few rounds, no more.
             rounds += 1;
             let again = (why.is(Code::Stale) || why.is(Code::LinksBusy)) && rounds < 20;
@@ -97,7 +133,7 @@
             (_, true) => "on-trial",
             _ => "in-rotation",
         });
-        let till = patience(v, o.long && !c.trial, c.primary);
+        let till = patience(v, o.long && !c.trial, &c);
         let caps = Caps::of(&bp, c.primary);
         let mut loan = match take(&c.row, &n.set.name, Use::Lookup, caps, &ctx.texts(), till).await {
             Ok(l) => l,
@@ -126,7 +162,9 @@
         }
         let q = call::run(&loan.link().id.clone(), v.text(), &v.body.params);
         let asked = now();
-        match ask(n, loan, q, o, ask_id, till).await {
+        let owe = Owe { first: tried.len() == 1 && rounds == 0, ..o };
+        let until = v.until;
+        match ask_on(n, loan, q, owe, ask_id, till, || stay(n, &c, until)).await {
             Asked::Reply(r, loan) => {
                 loan.give_back();
                 if r.error.is_some() {
--- a/crates/qh-data/src/node.rs
+++ b/crates/qh-data/src/node.rs
@@ -59,6 +59,7 @@
     pub counts: Counts,
     pub rt: rt::Spawner,
     pub in_hand: AtomicU64,
+    pub carries: crate::carry::Budget,
     next: AtomicU64,
 }
 
@@ -73,6 +74,7 @@
             counts: Counts::default(),
             rt,
             in_hand: AtomicU64::new(0),
+            carries: Default::default(),
             next: AtomicU64::new(fastrand::u64(1..1 << 40)),
         })
     }
@@ -230,20 +232,3 @@
         }
     }
 }
-
-/// Copies kept on this node alone: for tests, and while a node runs without others.
-#[derive(Default)]
-pub struct Alone {
-    held: Mutex<std::collections::HashMap<Name, Context>>,
-}
-
-impl Copies for Alone {
-    fn store(&self, c: Context) -> Fut<'_, Result<(), Breakdown>> {
-        self.held.lock().unwrap().insert(c.id.clone(), c);
-        Box::pin(async { Ok(()) })
-    }
-    fn find<'a>(&'a self, id: &'a str, _: Edition) -> Fut<'a, Result<Option<Context>, Breakdown>> {
-        let c = self.held.lock().unwrap().get(id).cloned();
-        Box::pin(async { Ok(c) })
-    }
-}
--- a/crates/qh-data/src/verdict.rs
+++ b/crates/qh-data/src/verdict.rs
@@ -1,5 +1,6 @@
 //! The verdict on one server (§4.5): judges' evidence is weighed into in rotation, set aside, on trial.
-use crate::judge::{Ending, Evidence, Found, Overdue, Sign};
+use crate::judge::{Ending, Evidence, Sign};
+use crate::overdue::{Found, Overdue};
 use qh_core::blueprint::Judges;
 use qh_core::{Ms, messages};
 use std::collections::VecDeque;
--- a/crates/qh-lab/src/stand/calls.rs
+++ b/crates/qh-lab/src/stand/calls.rs
@@ -1,24 +1,23 @@
 //! The calls of the server contract, as a stand-in answers them (docs/server.md).
 use super::journal::{Entry, id_of};
+use super::keep::{keep, outcome};
 use super::net::Cut;
 use super::{Stand, repl};
-use crate::db::Outcome;
 use crate::stmt::{self, Ctx, Txn};
+use qh_core::Fence;
 use qh_core::rt;
-use qh_core::{Fence, now};
 use serde_json::{Value, json};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
-use tokio::sync::Mutex;
+use tokio::sync::{Mutex, Notify};
 
 static TXN: AtomicU64 = AtomicU64::new(1);
-/// Longest a commit waits for a second server before the caller is told that it is in doubt.
-const DOUBT: Duration = Duration::from_secs(8);
 
-fn num(b: &Value, k: &str) -> u64 {
+pub(super) fn num(b: &Value, k: &str) -> u64 {
     b.get(k).and_then(Value::as_u64).unwrap_or(0)
 }
-fn txt<'a>(b: &'a Value, k: &str) -> &'a str {
+pub(super) fn txt<'a>(b: &'a Value, k: &str) -> &'a str {
     b.get(k).and_then(Value::as_str).unwrap_or_default()
 }
 
@@ -44,7 +43,11 @@
             Ok(p) => Ok(repl::give(s, p).await),
             Err(e) => Ok(s.bad("malformed", e)),
         },
-        "/v1/cancel" => Ok(s.good(json!([]))),
+        "/v1/cancel" => {
+            let running = s.running.lock().unwrap().get(txt(&b, "link")).cloned();
+            running.into_iter().for_each(|r| r.notify_one());
+            Ok(s.good(json!([])))
+        }
         "/v1/fence" => {
             let ok = s.with(|d| d.set_fence(num(&b, "fence")));
             let beat = s.beat();
@@ -64,7 +67,7 @@
     }
 }
 
-fn leads(s: &Stand, f: Fence) -> Result<(), Value> {
+pub(super) fn leads(s: &Stand, f: Fence) -> Result<(), Value> {
     let (leads, own) = s.with(|d| (d.leads(f), d.fence));
     match (leads, f < own) {
         (true, _) => Ok(()),
@@ -149,7 +152,13 @@
         Err(e) => return Ok(s.bad("statement", e)),
     };
     if ran.sleep_ms > 0 {
-        rt::sleep(Duration::from_millis(ran.sleep_ms)).await;
+        let (link, stop) = (qh_core::Name::from(txt(b, "link")), Arc::new(Notify::new()));
+        s.running.lock().unwrap().insert(link.clone(), stop.clone());
+        let over = rt::first(rt::sleep(Duration::from_millis(ran.sleep_ms)), stop.notified()).await;
+        s.running.lock().unwrap().remove(&link);
+        if over.is_err() {
+            return Ok(s.bad("statement", "it was cancelled"));
+        }
     }
     if order {
         return keep(s, b, ran.writes, ran.rows).await;
@@ -165,86 +174,3 @@
     }
     Ok(s.good(ran.rows))
 }
-
-/// Keeps an order under its try key, once, and answers when two servers hold it.
-async fn keep(s: &Stand, b: &Value, writes: Vec<crate::db::Write>, rows: Value) -> Result<Value, Cut> {
-    let (key, sum, f) = (txt(b, "try"), txt(b, "sum"), num(b, "fence"));
-    s.faults.storage().await;
-    if let Err(v) = leads(s, f) {
-        return Ok(v);
-    }
-    let n = match s.with(|d| match d.outcome(key) {
-        Outcome::NotKept => Ok(d.add_commit(key, sum, writes, rows)),
-        o => Err(o),
-    }) {
-        Ok(n) | Err(Outcome::Running(n)) => n,
-        Err(o) => return Ok(told(s, sum, o)),
-    };
-    // The lab's own bug: a server that acknowledges what it alone holds.
-    if rt::broken("early-ack") {
-        s.with(|d| d.commit = d.commit.max(n));
-        return Ok(s.good(json!([["ok"]])));
-    }
-    let sure = wait(s, n, f).await;
-    if s.faults.one(&s.faults.lose) {
-        return Err(Cut);
-    }
-    if !sure {
-        return Ok(s.bad("in-doubt", "the order is not on a second server"));
-    }
-    Ok(told(s, sum, s.with(|d| d.outcome(key))))
-}
-
-fn told(s: &Stand, sum: &str, o: Outcome) -> Value {
-    match o {
-        Outcome::Kept { sum: had, .. } if had != sum => {
-            s.bad("try-reused", "the try was kept with other content")
-        }
-        Outcome::Kept { rows, .. } => s.good(rows),
-        Outcome::Sealed => s.bad("try-sealed", "the try was sealed"),
-        Outcome::Running(_) | Outcome::NotKept => s.bad("in-doubt", "not known yet"),
-    }
-}
-
-/// Waits until record `n`, written under `f`, is on a second server.
-async fn wait(s: &Stand, n: u64, f: Fence) -> bool {
-    let until = now() + DOUBT.as_millis() as u64;
-    loop {
-        let moved = s.moved.notified();
-        let (done, still) = s.with(|d| (d.commit >= n, d.leads(f) && d.still(n, f)));
-        if done && still {
-            return true;
-        }
-        if !still || now() >= until {
-            return false;
-        }
-        let _ = rt::timeout(Duration::from_millis(100), moved).await;
-    }
-}
-
-async fn outcome(s: &Stand, b: &Value) -> Result<Value, Cut> {
-    let (key, f) = (txt(b, "try"), num(b, "fence"));
-    let seal = b.get("seal").and_then(Value::as_bool).unwrap_or(false);
-    if let Err(v) = leads(s, f) {
-        return Ok(v);
-    }
-    s.faults.storage().await;
-    let mut o = s.with(|d| d.outcome(key));
-    if o == Outcome::NotKept && seal {
-        let n = s.with(|d| if d.leads(f) { Some(d.add_seal(key)) } else { None });
-        if let Some(n) = n {
-            wait(s, n, f).await;
-        }
-        o = s.with(|d| d.outcome(key));
-    }
-    let (word, rows) = match o {
-        Outcome::Kept { rows, .. } => ("kept", rows),
-        Outcome::Sealed => ("sealed", json!([])),
-        Outcome::Running(_) => ("running", json!([])),
-        Outcome::NotKept => ("not-kept", json!([])),
-    };
-    if let Err(v) = leads(s, f) {
-        return Ok(v);
-    }
-    Ok(json!({"stamp": s.stamp(), "rows": rows, "outcome": word}))
-}
--- a/crates/qh-lab/src/stand/mod.rs
+++ b/crates/qh-lab/src/stand/mod.rs
@@ -2,6 +2,7 @@
 pub mod calls;
 pub mod faults;
 pub mod journal;
+mod keep;
 mod lab;
 pub mod net;
 pub mod repl;
@@ -53,6 +54,8 @@
     pub state: Mutex<(State, u64)>,
     pub journal: Arc<Journal>,
     pub declined: AtomicU64,
+    /// Long statements that run, by link, so that they can be cancelled.
+    pub running: Mutex<std::collections::BTreeMap<qh_core::Name, Arc<tokio::sync::Notify>>>,
     pub links: AtomicU64,
     boot: u64,
     seq: AtomicU64,
@@ -86,6 +89,7 @@
             state: Mutex::new((State::Up, 0)),
             journal,
             declined: AtomicU64::new(0),
+            running: Mutex::default(),
             links: AtomicU64::new(0),
             boot,
             seq: AtomicU64::new(1),
--- a/crates/qh-lab/tests/kit/mod.rs
+++ b/crates/qh-lab/tests/kit/mod.rs
@@ -2,9 +2,9 @@
 use qh_core::blueprint::Blueprint;
 use qh_core::settings::NodeSettings;
 use qh_core::{Lead, now};
+use qh_data::alone::Alone;
 use qh_data::board::Plan;
 use qh_data::judge::{Ending, Sign};
-use qh_data::node::Alone;
 use qh_data::verdict::Verdict;
 use qh_data::{Node, probe};
 use qh_lab::stand::{Args, Stand, net, repl};
