Districts bear labels that selectors use beside the servers' and visits' own

Districts are listed in the blueprint (or as objects) with labels; one that is not listed is named by qh placements; contradictions are declined with path and sentence.

--- a/crates/qh-core/src/blueprint.rs
+++ b/crates/qh-core/src/blueprint.rs
@@ -16,6 +16,13 @@
     pub except: Selector,
 }
 
+/// A district and its labels: servers and visits there have them beside their own (§7.1).
+#[derive(Config, Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct District {
+    pub name: String,
+    pub labels: BTreeMap<String, String>,
+}
+
 /// What a visit is to be done with.
 #[derive(Config, Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Rule {
@@ -96,6 +103,9 @@
     pub placements: Vec<Placement>,
     #[setting(nested)]
     pub rules: Vec<Rule>,
+    /// Where any are listed, all are.
+    #[setting(nested)]
+    pub districts: Vec<District>,
     #[setting(nested)]
     pub judges: Judges,
     #[setting(nested)]
@@ -112,20 +122,38 @@
     })
 }
 
-/// True when every key of the selector is held by `labels` with one of its values.
-pub fn matches(sel: &Selector, labels: &Labels) -> bool {
-    sel.iter().all(|(k, vs)| labels.get(k.as_str()).is_some_and(|v| vs.iter().any(|x| x == v.as_str())))
+/// Labels of a server or a visit, and behind them those of its district.
+struct Worn<'a> {
+    own: &'a Labels,
+    district: Option<&'a District>,
 }
 
-impl Placement {
-    pub fn holds(&self, labels: &Labels) -> bool {
-        matches(&self.select, labels) && (self.except.is_empty() || !matches(&self.except, labels))
+impl Worn<'_> {
+    fn get(&self, k: &str) -> Option<&str> {
+        let behind = || self.district.and_then(|d| d.labels.get(k)).map(String::as_str);
+        self.own.get(k).map(|v| v.as_str()).or_else(behind)
+    }
+    /// True when every key of the selector is held with one of its values.
+    fn meets(&self, sel: &Selector) -> bool {
+        sel.iter().all(|(k, vs)| self.get(k).is_some_and(|v| vs.iter().any(|x| x == v)))
     }
 }
 
 impl Blueprint {
+    fn worn<'a>(&'a self, own: &'a Labels) -> Worn<'a> {
+        Worn { own, district: own.get("district").and_then(|d| self.district(d)) }
+    }
+    pub fn district(&self, name: &str) -> Option<&District> {
+        self.districts.iter().find(|d| d.name == name)
+    }
+    /// Is a server with these labels in the placement?
+    pub fn holds(&self, p: &Placement, labels: &Labels) -> bool {
+        let w = self.worn(labels);
+        w.meets(&p.select) && (p.except.is_empty() || !w.meets(&p.except))
+    }
     pub fn rule(&self, class: &str, labels: &Labels) -> Option<&Rule> {
-        self.rules.iter().find(|r| r.class == class && matches(&r.when, labels))
+        let w = self.worn(labels);
+        self.rules.iter().find(|r| r.class == class && w.meets(&r.when))
     }
     pub fn placement(&self, name: &str) -> Option<&Placement> {
         self.placements.iter().find(|p| p.name == name)
--- a/crates/qh-core/src/check.rs
+++ b/crates/qh-core/src/check.rs
@@ -25,6 +25,21 @@
             }
         }
         seen.clear();
+        for (i, d) in self.districts.iter().enumerate() {
+            let at = format!("districts[{i}]");
+            name_ok(&mut w, &format!("{at}.name"), &d.name, &mut seen);
+            for (k, v) in &d.labels {
+                let one: Selector = [(k.clone(), vec![v.clone()])].into();
+                selector_ok(&mut w, &format!("{at}.labels"), &one, false);
+                if ["district", "group", "copies"].contains(&k.as_str()) {
+                    w.push(format!("{at}.labels.{k}: is a server's own label, a district cannot bear it"));
+                }
+                if k.is_empty() || k.len() > 64 || v.is_empty() || v.len() > 64 {
+                    w.push(format!("{at}.labels.{k}: a label and its value have 1 to 64 signs"));
+                }
+            }
+        }
+        seen.clear();
         for (i, r) in self.rules.iter().enumerate() {
             let at = format!("rules[{i}]");
             name_ok(&mut w, &format!("{at}.name"), &r.name, &mut seen);
@@ -59,10 +74,33 @@
                 w.push(format!("{at}.when: an earlier rule takes all of these visits"));
             }
         }
+        self.check_districts(&mut w);
         self.check_sums(&mut w);
         w
     }
 
+    /// Where districts are listed, a selector can name no other; and one that names a district together with a label
+    /// that this district bears otherwise contradicts itself.
+    fn check_districts(&self, w: &mut Vec<String>) {
+        let of = |at: &str, i: usize, key: &str| format!("{at}[{i}].{key}");
+        let places =
+            self.placements.iter().enumerate().map(|(i, p)| (of("placements", i, "select"), &p.select));
+        let rules = self.rules.iter().enumerate().map(|(i, r)| (of("rules", i, "when"), &r.when));
+        for (at, sel) in places.chain(rules).filter(|_| !self.districts.is_empty()) {
+            let Some(named) = sel.get("district") else { continue };
+            for n in named.iter().filter(|n| self.district(n).is_none()) {
+                w.push(format!("{at}.district: {n:?} is not among the districts"));
+            }
+            for (k, vs) in sel {
+                let bears = |n: &String| self.district(n).and_then(|d| d.labels.get(k));
+                let other = named.iter().all(|n| bears(n).is_some_and(|v| !vs.contains(v)));
+                if other && !named.is_empty() {
+                    w.push(format!("{at}.{k}: every district that is named bears another {k}"));
+                }
+            }
+        }
+    }
+
     fn check_sums(&self, w: &mut Vec<String>) {
         let j = &self.judges;
         range(w, "judges.query_timeout_ms", j.query_timeout_ms, 100, 600_000);
@@ -148,6 +186,36 @@
         assert_eq!(a.judges.query_timeout_ms, 30_000);
     }
 
+    #[test]
+    fn districts_bear_labels_that_selectors_use_beside_the_servers_own() {
+        let t = "[[placements]]\nname=\"west\"\nselect={group=[\"g\"],coast=[\"west\"]}\n[[rules]]\nname=\"r\"\n\
+                 class=\"lookup\"\nplacement=\"west\"\nwhen={coast=[\"west\"]}\n[[districts]]\nname=\"d1\"\n\
+                 labels={coast=\"west\"}\n[[districts]]\nname=\"d2\"\nlabels={coast=\"east\"}\n";
+        let bp = Blueprint::read(t).unwrap();
+        let l = |own: &[(&str, &str)]| own.iter().map(|(k, v)| ((*k).into(), (*v).into())).collect();
+        let p = &bp.placements[0];
+        assert!(bp.holds(p, &l(&[("group", "g"), ("district", "d1")])));
+        assert!(!bp.holds(p, &l(&[("group", "g"), ("district", "d2")])));
+        assert!(
+            bp.holds(p, &l(&[("group", "g"), ("district", "d2"), ("coast", "west")])),
+            "its own label wins"
+        );
+        assert!(bp.rule("lookup", &l(&[("district", "d1")])).is_some());
+        assert!(bp.rule("lookup", &l(&[("district", "d2")])).is_none());
+        wrong(&t.replace("name=\"d2\"", "name=\"d1\""), "districts[1].name: \"d1\" is used twice");
+        wrong(&t.replace("coast=\"east\"", "group=\"east\""), "districts[1].labels.group: is a server's own");
+        wrong(
+            &t.replace("select={", "select={district=[\"d9\"],"),
+            "placements[0].select.district: \"d9\" is not among",
+        );
+        wrong(
+            &t.replace("select={", "select={district=[\"d2\"],"),
+            "placements[0].select.coast: every district",
+        );
+        wrong(&t.replace("when={", "when={district=[\"d2\"],"), "rules[0].when.coast: every district");
+        wrong(&t.replace("coast=\"east\"", "coast=\"10.0.0.1\""), "is an address");
+    }
+
     #[test]
     fn every_kind_of_mistake_is_named_with_its_path() {
         wrong("nonsense", "");
--- a/crates/qh-core/src/objects.rs
+++ b/crates/qh-core/src/objects.rs
@@ -51,7 +51,7 @@
 
 /// The objects as one blueprint in JSON, to be read and checked like any other.
 pub fn to_json(text: &str) -> Result<String, Breakdown> {
-    let mut out = json!({"placements": [], "rules": []});
+    let mut out = json!({"placements": [], "rules": [], "districts": []});
     for (i, doc) in serde_norway::Deserializer::from_str(text).enumerate() {
         let v = Value::deserialize(doc).map_err(|e| invalid(format_args!("document {}: {e}", i + 1)))?;
         if !v.is_null() {
@@ -74,6 +74,7 @@
     let listed = match o.kind.as_str() {
         "Placement" => Some("placements"),
         "Rule" => Some("rules"),
+        "District" => Some("districts"),
         "Judges" | "Links" | "Holding" => None,
         k => return Err(invalid(format_args!("{at}: no kind is called {k:?}"))),
     };
--- a/crates/qh-data/src/board.rs
+++ b/crates/qh-data/src/board.rs
@@ -168,8 +168,8 @@
         self.rows.read().unwrap().clone()
     }
     /// Servers of a placement, by their labels.
-    pub fn placed(&self, p: &Placement) -> Vec<Arc<ServerRow>> {
-        self.rows().into_iter().filter(|r| p.holds(&r.beat.read().unwrap().labels)).collect()
+    pub fn placed(&self, bp: &Blueprint, p: &Placement) -> Vec<Arc<ServerRow>> {
+        self.rows().into_iter().filter(|r| bp.holds(p, &r.beat.read().unwrap().labels)).collect()
     }
     pub fn seen<T>(&self, group: &str, f: impl FnOnce(&mut Seen) -> T) -> T {
         let mut s = self.seen.lock().unwrap();
--- a/crates/qh-data/src/lib.rs
+++ b/crates/qh-data/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod alone;
 pub mod board;
 pub mod carry;
+pub mod choose;
 pub mod door;
 pub mod filters;
 pub mod fresh;
--- a/crates/qh-data/src/lookup.rs
+++ b/crates/qh-data/src/lookup.rs
@@ -1,6 +1,6 @@
 //! Carrying lookups: same district first, fresh or not at all, never outside the placement (§4.7, §4.8).
-use crate::board::ServerRow;
 use crate::carry::{Asked, Owe, ask_on, no_link};
+use crate::choose::{Choice, choose, patience, stay};
 use crate::node::Node;
 use crate::pool::{Caps, NoLink, take};
 use crate::server::{self, call};
@@ -17,90 +17,6 @@
     Owe { timeout: r.timeout_ms, query_timeout, long: r.long, first: true }
 }
 
-/// One server to ask, and why it may be asked.
-struct Choice {
-    row: Arc<ServerRow>,
-    primary: bool,
-    trial: bool,
-    /// It goes there to find out whether the server stalls (§4.5).
-    witness: bool,
-}
-
-fn choose(n: &Node, v: &Visit, tried: &[Name], (room, long): (bool, bool), id: u64) -> Option<Choice> {
-    let bp = v.plan.blueprint.as_ref()?;
-    let p = bp.placement(&v.ran.placement)?;
-    let rows = n.board.placed(p);
-    let lead_of = |r: &ServerRow| v.plan.leads.get(&r.group()).and_then(|l| l.server.clone());
-    let is_lead = |r: &ServerRow| lead_of(r).as_ref() == Some(&r.name);
-    let here = &n.set.district;
-    let near = |r: &Arc<ServerRow>| r.district() != here.as_str();
-    let usable: Vec<_> = rows
-        .iter()
-        .filter(|r| !is_lead(r) && !r.leaving() && r.beat.read().unwrap().role == Role::Replica)
-        .filter(|r| r.status.lock().unwrap().answered > 0)
-        .collect();
-    // A trial takes one visit, and only one with time left to go elsewhere.
-    if room
-        && let Some(r) =
-            usable.iter().find(|r| !tried.contains(&r.name) && r.health.lock().unwrap().may_try())
-    {
-        r.health.lock().unwrap().try_with(id);
-        return Some(Choice { row: (*r).clone(), primary: false, trial: true, witness: false });
-    }
-    let good: Vec<_> = usable.iter().filter(|r| r.health.lock().unwrap().may_serve()).collect();
-    // A first visit may be a witness, if there is time to go elsewhere.
-    let doubtful = |r: &&&&Arc<ServerRow>| r.health.lock().unwrap().overdue.wants_witness(now());
-    if room
-        && tried.is_empty()
-        && !long
-        && let Some(r) = good.iter().find(doubtful)
-    {
-        return Some(Choice { row: (**r).clone(), primary: false, trial: false, witness: true });
-    }
-    let cap = bp.links.per_replica as usize;
-    let best = good.iter().filter(|r| !tried.contains(&r.name)).min_by_key(|r| {
-        let owing = r.health.lock().unwrap().overdue.owing();
-        let (live, idle) = r.pool.shard.count();
-        (idle == 0 && live >= cap, near(r), owing, fastrand::u8(..))
-    });
-    if let Some(r) = best {
-        return Some(Choice { row: (**r).clone(), primary: false, trial: false, witness: false });
-    }
-    // None is left: the primary, if the placement holds it, under a share of its links (§4.7).
-    rows.iter().find(|r| is_lead(r) && !r.leaving() && !tried.contains(&r.name)).map(|r| Choice {
-        row: r.clone(),
-        primary: true,
-        trial: false,
-        witness: false,
-    })
-}
-
-/// A witness goes elsewhere after this.
-const WITNESS: Ms = 400;
-
-/// The share of the time one server gets before the visit goes elsewhere as well.
-fn patience(v: &Visit, long: bool, c: &Choice) -> Ms {
-    let share = (v.left() / 3).max(50).min(v.left());
-    match (long || c.primary, c.witness) {
-        (true, _) => v.until,
-        (_, true) => now() + share.min(WITNESS),
-        _ => now() + share,
-    }
-}
-
-/// A visit whose time at a server is over stays there while the server answers others: then it is the visit that is
-/// long, and would be elsewhere too (§4.5). It goes on as soon as the server falls silent, or while the node's budget
-/// for carrying is spent stays all the same (§4.7).
-fn stay(n: &Node, c: &Choice, till: Ms) -> Option<Ms> {
-    const STEP: Ms = 250;
-    let left = till.saturating_sub(now());
-    if left < 20 {
-        return None;
-    }
-    let answers = c.row.health.lock().unwrap().overdue.answered_within(now(), STEP);
-    (!c.trial && !c.witness && (answers || !n.carries.spend())).then(|| now() + left.min(STEP))
-}
-
 pub async fn lookup(n: &Arc<Node>, v: &mut Visit) -> Answer {
     let (Some(bp), Some(rule)) = (v.plan.blueprint.clone(), v.rule.clone()) else {
         return Err(Code::NoRule.bare());
--- a/crates/qh-data/src/order.rs
+++ b/crates/qh-data/src/order.rs
@@ -7,6 +7,7 @@
 use crate::server::{self, Reply, Try, call};
 use crate::shard::Use;
 use crate::visit::{Answer, Visit};
+use qh_core::blueprint::Blueprint;
 use qh_core::rt;
 use qh_core::{Breakdown, Code, Fence, Ms, Name, Role};
 use serde_json::Value;
@@ -22,8 +23,11 @@
     let lead = n.board.lead(&v.group).ok_or_else(|| none("none was named yet"))?;
     let name = lead.server.ok_or_else(|| none("it is changing hands"))?;
     let row = n.board.row(&name).ok_or_else(|| none("it has not been heard of here"))?;
-    let held = v.plan.blueprint.as_ref().and_then(|b| b.placement(&v.ran.placement).cloned());
-    if !held.is_some_and(|p| p.holds(&row.beat.read().unwrap().labels)) {
+    let bp = v.plan.blueprint.as_ref();
+    let held = |b: &Arc<Blueprint>| {
+        b.placement(&v.ran.placement).is_some_and(|p| b.holds(p, &row.beat.read().unwrap().labels))
+    };
+    if !bp.is_some_and(held) {
         return Err(none("the placement does not hold it"));
     }
     if row.leaving() {
--- a/crates/qh/src/show.rs
+++ b/crates/qh/src/show.rs
@@ -150,7 +150,12 @@
             let join = |r: &Value, k: &str| list(r, k).map(s).collect::<Vec<_>>().join(" ");
             let body = list(v, "placements")
                 .map(|r| vec![s(&r["placement"]), s(&r["select"]), join(r, "servers"), join(r, "rules")]);
-            rows(&["PLACEMENT", "SELECT", "SERVERS", "RULES"], body.collect())
+            let mut out = rows(&["PLACEMENT", "SELECT", "SERVERS", "RULES"], body.collect());
+            for d in list(v, "unknown_districts") {
+                out +=
+                    &format!("note: district {} is not in the blueprint, so it has no labels there\n", s(d));
+            }
+            out
         }
         "history" => {
             let body = list(v, "history").map(|r| cells(r, &["edition", "by", "bytes"]));
--- a/crates/qhd/src/ops.rs
+++ b/crates/qhd/src/ops.rs
@@ -1,6 +1,6 @@
 //! Operators' calls at a node's desk, answered for the whole fleet (§8.2).
 use crate::{Fleet, report};
-use qh_core::blueprint::{Blueprint, matches};
+use qh_core::blueprint::Blueprint;
 use qh_core::rt;
 use qh_core::{Breakdown, Code, Name};
 use qh_mesh::{NodeAsk, NodeRep};
@@ -104,7 +104,7 @@
     let plan = f.node.board.plan();
     let bp = plan.blueprint.clone().ok_or_else(|| Code::NoBlueprint.bare())?;
     let of = |p: &qh_core::blueprint::Placement| -> Vec<Name> {
-        f.node.board.placed(p).iter().map(|r| r.name.clone()).collect()
+        f.node.board.placed(&bp, p).iter().map(|r| r.name.clone()).collect()
     };
     let rows: Vec<Value> = bp
         .placements
@@ -114,7 +114,16 @@
             json!({"placement": p.name, "select": p.select, "except": p.except, "servers": of(p), "rules": rules})
         })
         .collect();
-    Ok(json!({"edition": plan.edition, "placements": rows}))
+    // Where districts are listed, one that is not has no labels there: its servers and nodes may be missed.
+    let mut here: std::collections::BTreeSet<Name> =
+        f.node.board.rows().iter().map(|r| r.district()).collect();
+    here.extend(f.mesh.mesh.lock().unwrap().rumors().into_iter().map(|r| r.district));
+    here.insert(f.node.set.district.as_str().into());
+    let unknown: Vec<Name> =
+        here.into_iter().filter(|d| !bp.districts.is_empty() && bp.district(d).is_none()).collect();
+    Ok(
+        json!({"edition": plan.edition, "placements": rows, "districts": bp.districts, "unknown_districts": unknown}),
+    )
 }
 
 /// Lines of the blueprint in force that go, and of the new one that come.
@@ -156,7 +165,7 @@
     let empty: Vec<&str> = bp
         .placements
         .iter()
-        .filter(|p| !f.node.board.rows().iter().any(|r| matches(&p.select, &r.beat.read().unwrap().labels)))
+        .filter(|p| f.node.board.placed(&bp, p).is_empty())
         .map(|p| p.name.as_str())
         .collect();
     if b.get("dry_run").and_then(Value::as_bool) == Some(true) {
--- a/crates/qhlab/src/bench.rs
+++ b/crates/qhlab/src/bench.rs
@@ -101,10 +101,11 @@
 
 /// From a fault to out of rotation, at one node, with a lookup about each 25 ms.
 async fn judges(u: &Up, rounds: usize) -> Result<(), String> {
-    for (name, wish) in [
-        ("reset", json!({"reset": true})),
-        ("stall (rule timeout 3000 ms)", json!({"stall": true})),
-        ("hole (rule timeout 3000 ms)", json!({"hole": true})),
+    for (name, wish, long_pm) in [
+        ("reset", json!({"reset": true}), 0),
+        ("stall (rule timeout 3000 ms)", json!({"stall": true}), 0),
+        ("stall amid one long query in five", json!({"stall": true}), 200),
+        ("hole (rule timeout 3000 ms)", json!({"hole": true}), 0),
     ] {
         let mut figures = Vec::new();
         for _ in 0..rounds {
@@ -127,7 +128,8 @@
                 loop {
                     let door = door.clone();
                     tokio::spawn(async move {
-                        let b = json!({"text": "get x", "labels": {"db": "g1"}});
+                        let text = if fastrand::u64(..1_000) < long_pm { "sleep 4000" } else { "get x" };
+                        let b = json!({"text": text, "labels": {"db": "g1"}});
                         let _ = qh_core::http::post(&door, "/v1/lookup", &b, Duration::from_secs(4)).await;
                     });
                     tokio::time::sleep(Duration::from_millis(25)).await;
