The tail holds a node's poll until there is news

Cause of 300 ms for each push, close and naming: nodes asked every 200 ms, once to hear and once to report.

--- a/crates/qh-state/src/asks.rs
+++ b/crates/qh-state/src/asks.rs
@@ -1,14 +1,33 @@
 //! What nodes and operators ask of a keeper: feed, writes, membership, status (§5.2, §5.6).
-use crate::keeper::{Keeper, Out, Waiter};
+use crate::keeper::{Keeper, Out};
 use crate::lease::Leases;
 use crate::msgs::{Answer, Ask, Cmd, Entry, KeeperStatus, Machine, Rep, View};
-use qh_core::{ChangeNo, Code, Edition, Name};
+use crate::terms::{FEED, NODE_LEASE};
+use qh_core::{ChangeNo, Code, Edition, Ms, Name};
 
 /// Writers that may wait at the head.
 const WAITERS: usize = 1024;
 /// How long a writer waits before it is told to ask again with the same key.
 const WRITE_WAIT: u64 = 8_000;
 
+#[derive(Clone, Debug)]
+pub(crate) struct Waiter {
+    pub token: u64,
+    pub n: ChangeNo,
+    pub answer: Answer,
+    pub everywhere: bool,
+    pub until: Ms,
+}
+
+/// A node whose poll waits at the tail for news.
+#[derive(Clone, Debug)]
+pub(crate) struct Poller {
+    pub token: u64,
+    pub node: Name,
+    pub have: ChangeNo,
+    pub until: Ms,
+}
+
 impl Keeper {
     pub(crate) fn ask(&mut self, token: u64, ask: Ask) {
         let rep = match ask {
@@ -19,20 +38,40 @@
                 Some(Rep::Elsewhere { view: self.view.clone() })
             }
             Ask::Read => Some(Rep::Whole { store: Box::new(self.store.clone()), lease_ms: 0 }),
-            Ask::Feed { node, addr, have, applied: _ } => Some(self.feed(node, addr, have)),
+            Ask::Feed { node, addr, have, applied: _ } => self.feed(token, node, addr, have),
         };
         if let Some(r) = rep {
             self.out.push(Out::Reply(token, r));
         }
     }
 
-    fn feed(&mut self, node: Name, addr: Name, have: ChangeNo) -> Rep {
+    /// What came after `have`, at once; if there is nothing, as soon as there is, or after a while (§5.2). The node
+    /// counts its lease from before it asked, so it may wait here.
+    fn feed(&mut self, token: u64, node: Name, addr: Name, have: ChangeNo) -> Option<Rep> {
         let now = self.now;
         let leases = self.leases.get_or_insert_with(|| Leases::begin(now));
         let lease_ms = leases.grant(now, &node, &addr, have.min(self.store.n));
         match self.after(have).filter(|_| have <= self.store.n) {
-            Some(entries) => Rep::Changes { entries, lease_ms },
-            None => Rep::Whole { store: Box::new(self.store.clone()), lease_ms },
+            Some(entries) if entries.is_empty() => {
+                // One poll a node: what an earlier one waits for, this one asks.
+                let (old, rest) = std::mem::take(&mut self.pollers).into_iter().partition(|p| p.node == node);
+                self.pollers = rest;
+                self.end_polls(old);
+                self.pollers.push(Poller { token, node, have, until: now + FEED });
+                None
+            }
+            Some(entries) => Some(Rep::Changes { entries, lease_ms }),
+            None => Some(Rep::Whole { store: Box::new(self.store.clone()), lease_ms }),
+        }
+    }
+
+    fn end_polls(&mut self, polls: Vec<Poller>) {
+        for p in polls {
+            let rep = match self.after(p.have).filter(|_| self.serving()) {
+                Some(entries) => Rep::Changes { entries, lease_ms: NODE_LEASE },
+                None => Rep::Elsewhere { view: self.view.clone() },
+            };
+            self.out.push(Out::Reply(p.token, rep));
         }
     }
 
@@ -91,6 +130,11 @@
                 self.send(&p, m);
             }
         }
+        let (serves, n, at) = (self.serving(), self.store.n, self.now);
+        let over = |p: &Poller| !serves || p.have < n || at >= p.until;
+        let (done, rest) = std::mem::take(&mut self.pollers).into_iter().partition(over);
+        self.pollers = rest;
+        self.end_polls(done);
         let (c, f, now, head) = (self.committed, self.in_force, self.now, self.is_head());
         let mut keep = Vec::new();
         for w in std::mem::take(&mut self.waiters) {
--- a/crates/qh-state/src/keeper.rs
+++ b/crates/qh-state/src/keeper.rs
@@ -1,6 +1,7 @@
 //! One keeper: chain member, acceptor, proposer, perhaps the tail. Sans-IO (§5.1).
+use crate::asks::{Poller, Waiter};
 use crate::lease::Leases;
-use crate::msgs::{Answer, Ask, Entry, PeerMsg, Rep, View};
+use crate::msgs::{Ask, Entry, PeerMsg, Rep, View};
 use crate::register::{Acceptor, Move, Proposer};
 use crate::store::Store;
 use crate::terms::{BEAT, VIEW_LEASE, outlast, safe};
@@ -28,15 +29,6 @@
     Say(String),
 }
 
-#[derive(Clone, Debug)]
-pub(crate) struct Waiter {
-    pub token: u64,
-    pub n: ChangeNo,
-    pub answer: Answer,
-    pub everywhere: bool,
-    pub until: Ms,
-}
-
 /// What a keeper finds on its disk.
 #[derive(Clone, Debug, Default)]
 pub struct Found {
@@ -66,6 +58,7 @@
     pub(crate) joined: bool,
     pub(crate) leases: Option<Leases>,
     pub(crate) waiters: Vec<Waiter>,
+    pub(crate) pollers: Vec<Poller>,
     pub(crate) view_since: Ms,
     pub(crate) proposed: Ms,
     pub(crate) fetched: Ms,
@@ -98,6 +91,7 @@
             lease_until: 0,
             leases: None,
             waiters: Vec::new(),
+            pollers: Vec::new(),
             view_since: now,
             proposed: 0,
             fetched: 0,
--- a/crates/qh-state/src/terms.rs
+++ b/crates/qh-state/src/terms.rs
@@ -11,7 +11,7 @@
 pub const VIEW_LEASE: Ms = 1_000;
 /// Term of a node's lease.
 pub const NODE_LEASE: Ms = 4_000;
-/// How often a node asks the tail for changes and renews.
+/// How long the tail holds a node's poll for news; each renews its lease.
 pub const FEED: Ms = 200;
 /// Least time between two proposals of one keeper.
 pub const PROPOSE_GAP: Ms = 250;
--- a/crates/qhd/src/feed.rs
+++ b/crates/qhd/src/feed.rs
@@ -4,7 +4,7 @@
 use qh_core::now;
 use qh_core::rt;
 use qh_data::board::Plan;
-use qh_state::terms::{FEED, safe};
+use qh_state::terms::safe;
 use qh_state::{Ask, Rep, Store};
 use std::sync::Arc;
 use std::time::Duration;
@@ -66,8 +66,12 @@
             log::info!(target: "lease", "node {name} {w}");
             had = has;
         }
-        let gap = if news.is_some() { FEED } else { 60 };
-        rt::sleep(Duration::from_millis((asked + gap).saturating_sub(now()).max(20))).await;
+        // The tail holds a poll until there is news, and news is told to be applied at once.
+        let fresh = f.store.lock().unwrap().n > have;
+        let gap = if news.is_some() { 20 } else { 60 };
+        if !fresh {
+            rt::sleep(Duration::from_millis((asked + gap).saturating_sub(now()).max(5))).await;
+        }
     }
 }
 
