Lookups do not notice a change of hands: what was seen of a primary outlives it

Cause of lookups lost when a lead leaves or dies: at each change the node threw away what proves replicas fresh, and asked them 20 times in 0.8 s in vain. What was seen under a lease stays a proof; and while nothing can be proved a lookup waits, asking nobody.

--- a/crates/qh-data/src/board.rs
+++ b/crates/qh-data/src/board.rs
@@ -87,8 +87,7 @@
     /// Takes a plan; one with an older number is not taken (§1 N10).
     pub fn set_plan(&self, p: Plan) -> bool {
         self.plan.set(p, |old, new| {
-            for (g, l) in new.leads.iter().filter(|(g, l)| old.leads.get(*g) != Some(*l)) {
-                self.seen.lock().unwrap().remove(g);
+            for (_, l) in new.leads.iter().filter(|(g, l)| old.leads.get(*g) != Some(*l)) {
                 if let Some(r) = l.server.as_ref().and_then(|s| self.row(s)) {
                     r.health.lock().unwrap().named(now());
                 }
@@ -171,6 +170,13 @@
     pub fn placed(&self, bp: &Blueprint, p: &Placement) -> Vec<Arc<ServerRow>> {
         self.rows().into_iter().filter(|r| bp.holds(p, &r.beat.read().unwrap().labels)).collect()
     }
+    /// What the primary was seen to hold. It still proves something when another leads, as no other acknowledges a
+    /// commit while this node holds its lease and has not heard of the change (§4.8); without a lease it may.
+    pub fn note_seen(&self, group: &str, asked: Ms, pos: qh_core::Position) {
+        if self.has_lease() {
+            self.seen(group, |s| s.note(asked, pos));
+        }
+    }
     pub fn seen<T>(&self, group: &str, f: impl FnOnce(&mut Seen) -> T) -> T {
         let mut s = self.seen.lock().unwrap();
         f(s.entry(group.into()).or_default())
--- a/crates/qh-data/src/fresh.rs
+++ b/crates/qh-data/src/fresh.rs
@@ -35,10 +35,6 @@
         }
         self.ring.iter().find(|(a, _)| *a >= oldest).map(|(_, p)| *p)
     }
-    /// Forgets all: another primary leads.
-    pub fn forget(&mut self) {
-        self.ring.clear();
-    }
 }
 
 #[cfg(test)]
--- a/crates/qh-data/src/lookup.rs
+++ b/crates/qh-data/src/lookup.rs
@@ -31,17 +31,22 @@
         let ask_id = n.next_id();
         let Some(c) = choose(n, v, &tried, (v.left() > rule.timeout_ms / 2, rule.long), ask_id) else {
             // Everyone was asked. A stale or busy answer may be better in a moment; a few rounds, no more.
+            // While no primary was seen of late nothing can be proved fresh, and soon may be again (§4.8).
             rounds += 1;
-            let again = (why.is(Code::Stale) || why.is(Code::LinksBusy)) && rounds < 20;
+            let again = (why.is(Code::Stale) || why.is(Code::LinksBusy)) && rounds < 60;
             if tried.is_empty() || !again || v.left() < 60 {
                 return Err(why.retry(500));
             }
-            tried.clear();
+            // Nobody is asked again before an answer could be proved fresh.
+            if n.board.seen(&v.group, |s| s.needed(now(), rule.fresh_ms)).is_some() {
+                tried.clear();
+            }
             rt::sleep(std::time::Duration::from_millis(40)).await;
             continue;
         };
         let name = c.row.name.clone();
         tried.push(name.clone());
+        v.group = c.row.group();
         v.ran.server = name.clone();
         v.ran.district = c.row.district();
         v.ran.verdict = Name::from(match (c.primary, c.trial) {
--- a/crates/qh-data/src/order.rs
+++ b/crates/qh-data/src/order.rs
@@ -142,7 +142,7 @@
             Err(Code::NoLease.because("it ran out before the reply").unknown())
         }
         Some(good) => {
-            n.board.seen(&v.group, |s| s.note(v.began, r.stamp.position));
+            n.board.note_seen(&v.group, v.began, r.stamp.position);
             Ok(good)
         }
         None => Err(Code::BadReply.bare().unknown()),
--- a/crates/qh-data/src/probe.rs
+++ b/crates/qh-data/src/probe.rs
@@ -94,7 +94,7 @@
         lead.as_ref().is_some_and(|l| l.server.as_ref() == Some(&row.name) && l.fence == st.stamp.fence);
     // A primary that is still starting may not show all that its forerunner acknowledged (§3.2).
     if leads && st.stamp.role == Role::Primary && st.beat.state != State::Starting {
-        n.board.seen(&group, |s| s.note(asked, st.stamp.position));
+        n.board.note_seen(&group, asked, st.stamp.position);
     }
     let fresh = n.board.seen(&group, |s| s.needed(now(), 1_500)).is_some_and(|p| st.stamp.position >= p);
     let mut h = row.health.lock().unwrap();
