--- a/crates/qh-control/src/promotion.rs
+++ b/crates/qh-control/src/promotion.rs
@@ -6,7 +6,9 @@
 pub const MOST: Ms = 15_000;
 /// Between two askings of the same thing.
 const AGAIN: Ms = 300;
-/// A planned hand-over waits so long for open transactions and for replicas to catch up.
+/// Between two countings of what is under way.
+const COUNT: Ms = 20;
+/// A planned hand-over waits for open transactions at most so long.
 pub const DRAIN: Ms = 1_500;
 
 /// The old primary counts towards a majority only after so long without one.
@@ -31,6 +33,8 @@
     Promoted(Name),
     /// The server could not be promoted.
     NotPromoted(Name),
+    /// Every live node says that nothing of the group is under way there.
+    Drained,
     Named,
     /// A higher fence is out: another node has taken this over.
     Overtaken,
@@ -38,10 +42,23 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Out {
-    TakeFence { key: Name },
-    SetLead { key: Name, lead: Lead },
-    FenceServer { server: Name, fence: Fence },
-    Promote { server: Name, fence: Fence },
+    TakeFence {
+        key: Name,
+    },
+    SetLead {
+        key: Name,
+        lead: Lead,
+    },
+    FenceServer {
+        server: Name,
+        fence: Fence,
+    },
+    Promote {
+        server: Name,
+        fence: Fence,
+    },
+    /// Ask every node what is under way there.
+    CountOpen,
     Say(String),
 }
 
@@ -115,7 +132,8 @@
 
     /// What the present phase asks for, again and again until it is had.
     fn ask(&mut self, now: Ms) {
-        if self.asked != 0 && now < self.asked + AGAIN {
+        let again = if self.phase == Phase::Draining { COUNT } else { AGAIN };
+        if self.asked != 0 && now < self.asked + again {
             return;
         }
         self.asked = now.max(1);
@@ -128,7 +146,7 @@
                     self.fence_all();
                 }
             }
-            Phase::Draining => {}
+            Phase::Draining => self.out.push(Out::CountOpen),
             Phase::Fencing => self.fence_all(),
             Phase::Promoting => {
                 if let Some(server) = self.chosen.clone() {
@@ -180,6 +198,7 @@
                 self.phase = Phase::Done;
                 self.say("is done");
             }
+            (Phase::Draining, In::Drained) => self.turn(now, Phase::Fencing),
             (_, In::Fenced(s, end)) => {
                 self.fenced.insert(s, end);
             }
--- a/crates/qh-data/src/board.rs
+++ b/crates/qh-data/src/board.rs
@@ -61,6 +61,8 @@
     seen: Mutex<BTreeMap<Name, Seen>>,
     /// The lease holds until then on the local clock.
     lease_until: AtomicU64,
+    /// What is under way, by group.
+    pub works: crate::work::Works,
     pub stopping: std::sync::atomic::AtomicBool,
     /// An operator asked that no more origins be sent here.
     pub draining: std::sync::atomic::AtomicBool,
@@ -74,6 +76,7 @@
             plan: Newest::new(Plan::default()),
             seen: Mutex::default(),
             lease_until: AtomicU64::new(0),
+            works: Default::default(),
             stopping: false.into(),
             draining: false.into(),
         }
--- a/crates/qh-data/src/filters.rs
+++ b/crates/qh-data/src/filters.rs
@@ -1,7 +1,7 @@
 //! The chain of filters a visit passes; each may answer (§4.1).
 use crate::node::Node;
 use crate::visit::{Answer, Good, Visit, What};
-use crate::{lookup, order, session, txn};
+use crate::{lookup, order, outcome, session, txn};
 use qh_core::{Breakdown, Code, Ms, now};
 use std::future::Future;
 use std::pin::Pin;
@@ -187,7 +187,7 @@
         What::Outcome => {
             let key = v.body.key.clone().unwrap_or_default();
             let seal = v.body.seal;
-            order::settle(n, v, &key, seal).await
+            outcome::settle(n, v, &key, seal).await
         }
         _ => Err(Code::NoSuchCall.bare()),
     }
--- a/crates/qh-data/src/lib.rs
+++ b/crates/qh-data/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod newest;
 pub mod node;
 pub mod order;
+pub mod outcome;
 pub mod overdue;
 pub mod platform;
 pub mod pool;
@@ -24,5 +25,6 @@
 pub mod session;
 pub mod txn;
 pub mod visit;
+pub mod work;
 
 pub use node::Node;
--- a/crates/qh-data/src/order.rs
+++ b/crates/qh-data/src/order.rs
@@ -3,19 +3,20 @@
 use crate::carry::{Asked, ask, no_link};
 use crate::lookup::{declined, owe};
 use crate::node::Node;
+use crate::outcome::settle;
 use crate::pool::{Caps, Loan, NoLink, take};
 use crate::server::{self, Reply, Try, call};
 use crate::shard::Use;
 use crate::visit::{Answer, Visit};
 use qh_core::blueprint::Blueprint;
 use qh_core::rt;
-use qh_core::{Breakdown, Code, Fence, Ms, Name, Role};
+use qh_core::{Breakdown, Code, Fence, Ms, Role, now};
 use serde_json::Value;
 use std::sync::Arc;
 use std::time::Duration;
 
 /// Time kept at the end of a deadline for the answer itself.
-const LAST: Ms = 40;
+pub const LAST: Ms = 40;
 
 /// The group's primary as the chain names it, if this placement holds it and it may take work.
 pub fn primary(n: &Node, v: &Visit) -> Result<(Arc<ServerRow>, Fence), Breakdown> {
@@ -36,13 +37,40 @@
     Ok((row, lead.fence))
 }
 
+/// Longest a visit is held while hands change: such a change is over in less, or takes seconds (§5.6).
+const HOLD: Ms = 900;
+
+/// The primary; while hands change the visit is held for it, within its time and in bounded places (§4.6). Nothing was
+/// sent, so the answer is final and comes at once when it is over.
+async fn lead(n: &Node, v: &mut Visit) -> Result<(Arc<ServerRow>, Fence), Breakdown> {
+    let until = (now() + HOLD).min(v.until.saturating_sub(2 * LAST));
+    let mut place = None;
+    loop {
+        let got = primary(n, v);
+        let changing = n
+            .board
+            .lead(&v.group)
+            .is_some_and(|l| l.server.as_ref().is_none_or(|s| n.board.row(s).is_some_and(|r| r.leaving())));
+        if got.is_ok() || !changing || now() >= until {
+            return got;
+        }
+        if place.is_none() {
+            let most = v.plan.blueprint.as_ref().map_or(0, |b| b.holding.most as usize);
+            v.note("held while hands change");
+            place =
+                Some(n.board.works.hold(&v.group, most).ok_or_else(|| Code::HoldingFull.bare().retry(200))?);
+        }
+        rt::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 /// A link to the primary wearing the session's context; nothing of the visit has been sent yet.
 pub async fn to_primary(n: &Arc<Node>, v: &mut Visit) -> Result<(Loan, Fence), Breakdown> {
     let bp = v.plan.blueprint.clone().ok_or_else(|| Code::NoBlueprint.bare())?;
     let ctx = v.held.as_ref().map(|h| h.ctx.clone()).unwrap_or_default();
     let mut why = Code::LinksBusy.bare();
     for _ in 0..3 {
-        let (row, fence) = primary(n, v)?;
+        let (row, fence) = lead(n, v).await?;
         v.ran.server = row.name.clone();
         v.ran.district = row.district();
         v.ran.verdict = "primary".into();
@@ -71,6 +99,7 @@
     let key = v.body.key.clone().ok_or_else(|| Code::MissingTry.bare())?;
     let (bp, rule) = v.plan.blueprint.clone().zip(v.rule.clone()).ok_or_else(|| Code::NoRule.bare())?;
     let (mut loan, fence) = to_primary(n, v).await?;
+    let _work = n.board.works.begin(&v.group);
     let sum = v.sum();
     let t = Try { key: &key, sum: &sum, fence };
     let q = call::order(&loan.link().id.clone(), v.text(), &v.body.params, &t);
@@ -105,7 +134,7 @@
     }
 }
 
-fn unknown() -> Breakdown {
+pub fn unknown() -> Breakdown {
     Code::Unknown.bare().unknown().retry(500)
 }
 
@@ -149,54 +178,6 @@
     }
 }
 
-/// Asks a try's outcome of whoever leads, until it is known or the deadline is here. With `seal` a try that
-/// was not kept is made impossible first, and only then called so (§4.6).
-pub async fn settle(n: &Arc<Node>, v: &mut Visit, key: &str, seal: bool) -> Answer {
-    v.note("asks the outcome");
-    while v.left() > LAST {
-        let within = Duration::from_millis(v.left().saturating_sub(LAST));
-        if let Ok((row, fence)) = primary(n, v) {
-            v.ran.server = row.name.clone();
-            v.ran.district = row.district();
-            v.ran.verdict = "primary".into();
-            if let Some(r) = ask_outcome(n, &row, key, seal, fence, within).await
-                && r.stamp.fence == fence
-                && r.stamp.role == Role::Primary
-                && n.board.has_lease()
-            {
-                match r.outcome.as_deref() {
-                    // It proves nothing of what else is visible at a primary that just took over (§4.8).
-                    Some("kept") => {
-                        return r.good(&row.name).ok_or_else(|| Code::BadReply.bare().unknown());
-                    }
-                    Some("sealed") => return Err(Code::Sealed.bare()),
-                    Some("not-kept") if rt::broken("no-seal") => return Err(Code::Sealed.bare()),
-                    Some("not-kept") if !seal => {
-                        return Err(Code::Unknown.because("not kept so far, and not sealed").unknown());
-                    }
-                    _ => {}
-                }
-            }
-        }
-        rt::sleep(Duration::from_millis(50)).await;
-    }
-    Err(unknown())
-}
-
-async fn ask_outcome(
-    n: &Node,
-    row: &ServerRow,
-    key: &str,
-    seal: bool,
-    fence: Fence,
-    within: Duration,
-) -> Option<Reply> {
-    let (path, body) = call::outcome(key, seal && !rt::broken("no-seal"), fence);
-    let addr: Name = row.addr();
-    let r = n.once(&addr, path, body, within).await?;
-    Some(r).filter(|r| r.error.is_none() && r.stamp.server == row.name)
-}
-
 /// An order-side read outside a transaction: at the primary, under the lease, under the lead's fence.
 pub async fn side_read(n: &Arc<Node>, v: &mut Visit) -> Answer {
     let (bp, rule) = v.plan.blueprint.clone().zip(v.rule.clone()).ok_or_else(|| Code::NoRule.bare())?;
--- /dev/null
+++ b/crates/qh-data/src/outcome.rs
@@ -0,0 +1,57 @@
+//! How a try ended (§4.6): asked of whoever leads by then, and settled by a seal.
+use crate::board::ServerRow;
+use crate::node::Node;
+use crate::order::{LAST, primary, unknown};
+use crate::server::{Reply, call};
+use crate::visit::{Answer, Visit};
+use qh_core::{Code, Fence, Name, Role, rt};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Asks a try's outcome of whoever leads, until it is known or the deadline is here. With `seal` a try that
+/// was not kept is made impossible first, and only then called so (§4.6).
+pub async fn settle(n: &Arc<Node>, v: &mut Visit, key: &str, seal: bool) -> Answer {
+    v.note("asks the outcome");
+    while v.left() > LAST {
+        let within = Duration::from_millis(v.left().saturating_sub(LAST));
+        if let Ok((row, fence)) = primary(n, v) {
+            v.ran.server = row.name.clone();
+            v.ran.district = row.district();
+            v.ran.verdict = "primary".into();
+            if let Some(r) = ask_outcome(n, &row, key, seal, fence, within).await
+                && r.stamp.fence == fence
+                && r.stamp.role == Role::Primary
+                && n.board.has_lease()
+            {
+                match r.outcome.as_deref() {
+                    // It proves nothing of what else is visible at a primary that just took over (§4.8).
+                    Some("kept") => {
+                        return r.good(&row.name).ok_or_else(|| Code::BadReply.bare().unknown());
+                    }
+                    Some("sealed") => return Err(Code::Sealed.bare()),
+                    Some("not-kept") if rt::broken("no-seal") => return Err(Code::Sealed.bare()),
+                    Some("not-kept") if !seal => {
+                        return Err(Code::Unknown.because("not kept so far, and not sealed").unknown());
+                    }
+                    _ => {}
+                }
+            }
+        }
+        rt::sleep(Duration::from_millis(50)).await;
+    }
+    Err(unknown())
+}
+
+async fn ask_outcome(
+    n: &Node,
+    row: &ServerRow,
+    key: &str,
+    seal: bool,
+    fence: Fence,
+    within: Duration,
+) -> Option<Reply> {
+    let (path, body) = call::outcome(key, seal && !rt::broken("no-seal"), fence);
+    let addr: Name = row.addr();
+    let r = n.once(&addr, path, body, within).await?;
+    Some(r).filter(|r| r.error.is_none() && r.stamp.server == row.name)
+}
--- a/crates/qh-data/src/txn.rs
+++ b/crates/qh-data/src/txn.rs
@@ -27,6 +27,8 @@
     pub rule: Rule,
     pub sum: Name,
     pub used: Ms,
+    /// Its group's hand-over waits for it.
+    pub work: crate::work::Work,
 }
 
 fn of(v: &mut Visit) -> Result<&mut Session, Breakdown> {
@@ -39,6 +41,7 @@
     }
     let (bp, rule) = v.plan.blueprint.clone().zip(v.rule.clone()).ok_or_else(|| Code::NoRule.bare())?;
     let (mut loan, fence) = to_primary(n, v).await?;
+    let work = n.board.works.begin(&v.group);
     let q = call::begin(&loan.link().id.clone(), fence);
     match ask(n, loan, q, owe(&bp, &rule), n.next_id(), v.until).await {
         Asked::Reply(r, loan) if r.good(&v.ran.server).is_some() && r.stamp.fence == fence => {
@@ -46,7 +49,8 @@
             let (group, server, placement) = (v.group.clone(), v.ran.server.clone(), v.ran.placement.clone());
             let sum = Name::default();
             let used = now();
-            of(v)?.txn = Some(Open { loan: Some(loan), fence, group, server, placement, rule, sum, used });
+            of(v)?.txn =
+                Some(Open { loan: Some(loan), fence, group, server, placement, rule, sum, used, work });
             good
         }
         // A success of which stamp or rows are not the server's own is none; its link is dropped.
@@ -121,7 +125,7 @@
         Err(b) => return Err(b),
     };
     let bp = v.plan.blueprint.clone().ok_or_else(|| Code::NoBlueprint.bare())?;
-    let Some(mut loan) = o.loan else { return Err(Code::TransactionLost.bare()) };
+    let (_work, Some(mut loan)) = (o.work, o.loan) else { return Err(Code::TransactionLost.bare()) };
     v.ran.district = loan.row().district();
     let t = Try { key: &key, sum: &o.sum, fence: o.fence };
     let q = call::commit(&loan.link().id.clone(), &t);
--- a/crates/qh-mesh/src/msgs.rs
+++ b/crates/qh-mesh/src/msgs.rs
@@ -35,6 +35,8 @@
         Sees { server: Name },
         /// A group's lead stalls, as seen from here: told to whoever looks after the group.
         Suspect { group: Name, server: Name },
+        /// How much work of the group is under way at that node?
+        Open { group: Name },
         /// The node's report for operators, as JSON.
         Report { what: Name, key: Name }
     }
@@ -47,6 +49,7 @@
         /// Contexts newer here, and ids of which the asker has the newer.
         Mend { newer: Vec<Context>, want: Vec<Name> },
         Sees { heard: bool, failing: bool, stalled: bool, answering: bool },
+        Open { n: u64 },
         Report { json: String }
     }
 
--- a/crates/qhd/src/dutyd.rs
+++ b/crates/qhd/src/dutyd.rs
@@ -73,7 +73,7 @@
 pub async fn run(f: Arc<Fleet>) {
     let mut groups: BTreeMap<Name, Group> = BTreeMap::new();
     loop {
-        rt::sleep(Duration::from_millis(200)).await;
+        rt::sleep(Duration::from_millis(100)).await;
         if !f.node.board.has_lease() || f.node.board.is_stopping() {
             continue;
         }
--- a/crates/qhd/src/groupd.rs
+++ b/crates/qhd/src/groupd.rs
@@ -5,6 +5,7 @@
 use qh_core::rt;
 use qh_core::{Code, Fence, Name, now};
 use qh_data::platform::{self, Promoted};
+use qh_mesh::{NodeAsk, NodeRep};
 use qh_state::store::duty_of;
 use qh_state::{Answer, Cmd};
 use std::collections::BTreeSet;
@@ -50,6 +51,7 @@
             Out::SetLead { key, .. } => key.to_string(),
             Out::FenceServer { server, .. } => format!("fence {server}"),
             Out::Promote { server, .. } => format!("promote {server}"),
+            Out::CountOpen => "count".to_owned(),
         };
         if going.insert(what.clone()) {
             let (f, plan, tx) = (f.clone(), plan.clone(), tx.clone());
@@ -82,10 +84,19 @@
         }
         Out::FenceServer { server, fence } => fence_one(f, server, fence).await,
         Out::Promote { server, fence } => promote_one(f, plan, server, fence).await,
+        Out::CountOpen => count_open(f, &plan.group).await,
         Out::Say(_) => In::Tick,
     }
 }
 
+/// Nodes that do not answer may have work under way; the drain's own bound ends the wait for them.
+async fn count_open(f: &Fleet, group: &Name) -> In {
+    let live = f.mesh.live().into_iter().map(|(n, _)| n).collect();
+    let got = f.mesh.ask_all(live, NodeAsk::Open { group: group.clone() }).await;
+    let none = got.iter().all(|(_, r)| matches!(r, Some(NodeRep::Open { n: 0 })));
+    if none { In::Drained } else { In::Tick }
+}
+
 async fn fence_one(f: &Fleet, server: Name, fence: Fence) -> In {
     let Some(row) = f.node.board.row(&server) else { return In::Tick };
     if rt::broken("unfenced") {
--- a/crates/qhd/src/meshd.rs
+++ b/crates/qhd/src/meshd.rs
@@ -163,6 +163,7 @@
             f.duty.suspect(group, server);
             NodeRep::Done
         }
+        NodeAsk::Open { group } => NodeRep::Open { n: f.node.board.works.open(&group) as u64 },
         NodeAsk::Report { what, key } => {
             drop(t);
             NodeRep::Report { json: report::of(f, &what, &key).to_string() }
