Whoever promotes dies or stands still in each phase of it, amid a final breakdown

Two mistakes of the lab's own were mended: the loss of a district with half of the keepers was drawn, and facts that could not be read were taken for empty ones.

--- a/crates/qh-core/src/rt.rs
+++ b/crates/qh-core/src/rt.rs
@@ -41,6 +41,8 @@
     fn call(&self, addr: &str, frame: Vec<u8>) -> Fut<'static, io::Result<Vec<u8>>>;
     /// Is this run's code broken on purpose in that way, to see a check fail (§9.4)?
     fn broken(&self, bug: &str) -> bool;
+    /// The process has come to this point of its work.
+    fn point(&self, what: &str);
 }
 
 thread_local! {
@@ -65,6 +67,11 @@
     WORLD.with(|w| w.borrow().as_ref().is_some_and(|w| w.broken(bug)))
 }
 
+/// Tells the simulator where the process is; nothing under tokio.
+pub fn point(what: &str) {
+    WORLD.with(|w| w.borrow().iter().for_each(|w| w.point(what)));
+}
+
 /// A number that rises from one start of a process to the next; no rule compares it over machines.
 pub fn wall_ms() -> u64 {
     let since = || std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
--- a/crates/qh-lab/src/sim/core.rs
+++ b/crates/qh-lab/src/sim/core.rs
@@ -69,6 +69,16 @@
     pub trace: u64,
     /// Keepers may die in the midst of a step.
     pub faulty: bool,
+    /// Whoever comes to such a point next stands still for so long, or dies.
+    pub snare: Option<Snare>,
+    pub snared: Ms,
+}
+
+/// A trap for a process at a point of its work.
+#[derive(Clone, Debug)]
+pub struct Snare {
+    pub point: String,
+    pub pause: Option<Ms>,
 }
 
 pub struct Core {
@@ -114,6 +124,8 @@
             sent: 0,
             trace: seed,
             faulty: false,
+            snare: None,
+            snared: 0,
         });
         Arc::new(Core { m, bug: bug.map(str::to_owned), tell })
     }
--- a/crates/qh-lab/src/sim/faults.rs
+++ b/crates/qh-lab/src/sim/faults.rs
@@ -1,5 +1,5 @@
 //! What goes wrong in a simulated fleet, drawn from the seed (§9.1).
-use super::core::{Core, Ev, Pid};
+use super::core::Pid;
 use super::procs::Laid;
 use crate::stand::faults::Wish;
 use qh_core::{Ms, State};
@@ -192,59 +192,3 @@
         }
     }
 }
-
-impl Core {
-    pub fn cut(&self, p: Pid, q: Pid, both: bool) {
-        let mut m = self.lock();
-        m.cuts.insert((p, q));
-        if both {
-            m.cuts.insert((q, p));
-        }
-    }
-    pub fn mend(&self, p: Pid, q: Pid) {
-        let mut m = self.lock();
-        m.cuts.remove(&(p, q));
-        m.cuts.remove(&(q, p));
-    }
-    /// Stands still for so long; with 0 goes on at once.
-    pub fn pause(&self, p: Pid, ms: Ms) {
-        let mut m = self.lock();
-        let until = m.now + ms;
-        m.hosts[p].paused_until = if ms == 0 { 0 } else { m.hosts[p].paused_until.max(until) };
-        m.at(until, Ev::Resume(p));
-    }
-    pub fn crash(&self, p: Pid, dark: bool) {
-        let mut m = self.lock();
-        if !m.hosts[p].up {
-            return;
-        }
-        m.hosts[p].up = false;
-        m.hosts[p].dark = dark;
-        self.bury(&mut m, p);
-        m.drop_links(p, dark);
-    }
-    pub fn restart(self: &Arc<Self>, p: Pid) {
-        let start = {
-            let mut m = self.lock();
-            if m.hosts[p].up {
-                return;
-            }
-            // A monotonic clock begins anew with its machine.
-            let base = m.rng.below(1_000_000);
-            let h = &mut m.hosts[p];
-            (h.up, h.dark, h.paused_until, h.base) = (true, false, 0, base);
-            h.life += 1;
-            h.start.clone()
-        };
-        self.within(p, || start(self, p));
-    }
-    /// A process dies within its own step; it is back a little later.
-    pub fn crash_soon(self: &Arc<Self>, p: Pid) {
-        self.crash(p, false);
-        let at = {
-            let mut m = self.lock();
-            m.now + 300 + m.rng.below(3_000)
-        };
-        self.later(at, move |c| c.restart(p));
-    }
-}
--- a/crates/qh-lab/src/sim/host.rs
+++ b/crates/qh-lab/src/sim/host.rs
@@ -123,4 +123,9 @@
     fn broken(&self, bug: &str) -> bool {
         self.core.has_bug(bug)
     }
+    fn point(&self, what: &str) {
+        let name = self.core.lock().hosts[self.pid].name.clone();
+        self.core.say(&format!("{name}: {what}"));
+        self.core.came_to(self.pid, what);
+    }
 }
--- a/crates/qh-lab/src/sim/last.rs
+++ b/crates/qh-lab/src/sim/last.rs
@@ -1,5 +1,5 @@
 //! Breakdowns that are final (§9.1): one at a time, or two that belong together, and nothing is healed after.
-use super::core::Pid;
+use super::core::{Pid, Snare};
 use super::procs::Laid;
 
 /// What breaks down, by the seed; tells what it was.
@@ -18,6 +18,13 @@
     let (head, tail) = (at(view.head()).unwrap_or(l.keepers[0]), at(view.tail()).unwrap_or(l.keepers[0]));
     let draw = |n: usize| l.core.lock().rng.below(n as u64) as usize;
     let node = l.nodes[draw(l.nodes.len())];
+    // Half of the time whoever promotes dies, or stands still, in one phase of it.
+    if seed % 2 == 1 {
+        let point = ["is closing", "is fencing", "chose", "is promoting", "is naming"][seed as usize / 2 % 5]
+            .to_owned();
+        let pause = l.core.lock().rng.chance(500).then_some(3_000);
+        l.core.lock().snare = Some(Snare { point, pause });
+    }
     let (what, of): (&str, Vec<Pid>) = match seed % 9 {
         0 => ("the lead", vec![lead]),
         1 => ("a node", vec![node]),
@@ -27,7 +34,12 @@
         5 => ("the lead and the tail", vec![lead, tail]),
         6 => ("the lead and a node", vec![lead, node]),
         7 => ("a replica", l.servers.iter().map(|s| s.pid).filter(|p| *p != lead).take(1).collect()),
-        _ => ("a district", l.of_district(draw(l.shape.districts))),
+        _ => {
+            let n = l.shape.districts;
+            let keepers = |d: usize| (0..l.keepers.len()).filter(|i| i % n == d).count();
+            let may: Vec<usize> = (0..n).filter(|d| keepers(*d) * 2 < l.keepers.len()).collect();
+            ("a district", l.of_district(may[draw(may.len())]))
+        }
     };
     of.iter().for_each(|p| l.core.crash(*p, dark));
     let s = format!("{what}, {}", if dark { "without a word" } else { "links reset" });
@@ -36,8 +48,8 @@
 }
 
 impl Laid {
-    /// All machines of a district: its nodes, a server of each group, and the keepers that stand there. Where more
-    /// than half of the keepers stand in one district, its loss is not ridden out: no majority could mend the chain.
+    /// All machines of a district: its nodes, a server of each group, and the keepers that stand there. Where half
+    /// of the keepers or more stand in one district, its loss is not ridden out: no majority could mend the chain.
     fn of_district(&self, d: usize) -> Vec<Pid> {
         let n = self.shape.districts;
         let here = |(i, p): (usize, &Pid)| (i % n == d).then_some(*p);
--- a/crates/qh-lab/src/sim/mod.rs
+++ b/crates/qh-lab/src/sim/mod.rs
@@ -8,6 +8,7 @@
 pub mod keeper;
 mod last;
 pub mod net;
+mod power;
 pub mod procs;
 pub mod run;
 
--- a/crates/qh-lab/src/sim/run.rs
+++ b/crates/qh-lab/src/sim/run.rs
@@ -113,6 +113,9 @@
         (l.core.now(), "all is healed".to_owned())
     };
     l.core.run_until(healed + AFTER);
+    // What broke down on top of it, a little later, is a breakdown of its own.
+    let healed = healed.max(l.core.lock().snared);
+    l.core.run_until(healed + AFTER);
     w.stop.store(true, Ordering::SeqCst);
     let end = l.core.now();
     l.core.run_until(end + 6_000);
@@ -148,7 +151,10 @@
     let h = h;
     let sent = w.sent.lock().unwrap().clone();
     let journals = l.servers.iter().map(|s| (s.at.name.clone(), s.disk.journal.all())).collect();
-    let mut breaches = got.as_ref().err().cloned().into_iter().collect::<Vec<_>>();
+    if let Err(e) = &got {
+        return Report { seed: s.seed, breaches: vec![e.clone()], ..Default::default() };
+    }
+    let mut breaches = Vec::new();
     let f = Facts { journals, ..got.unwrap_or_default() };
     breaches.extend(check(&h, &f, &sent, &[fault], end));
     breaches.extend(l.all_keepers.watch.lock().unwrap().breaches.iter().cloned());
--- a/crates/qhd/src/groupd.rs
+++ b/crates/qhd/src/groupd.rs
@@ -45,6 +45,8 @@
         let what = match &o {
             Out::Say(s) => {
                 f.duty.tell(s.clone());
+                // The simulator may have this process die or stand still just here (§9.1).
+                rt::point(s);
                 continue;
             }
             Out::TakeFence { .. } => "fence".to_owned(),
