--- a/crates/qh-data/src/carry.rs
+++ b/crates/qh-data/src/carry.rs
@@ -90,9 +90,12 @@
     match got {
         Some(Ok(r)) => {
             let mut h = row.health.lock().unwrap();
-            if given_up {
+            if given_up && r.error.is_none() {
                 // Too late for the origin, but a sign of life: a long query, not a stall.
                 h.overdue.answered(now(), id);
+            } else if given_up {
+                // To end a cancelled query needs no storage, so it proves nothing.
+                h.overdue.gone(id);
             } else {
                 h.good(now(), &j, id);
                 drop(h);
