--- a/crates/qh-core/src/blueprint.rs
+++ b/crates/qh-core/src/blueprint.rs
@@ -49,7 +49,7 @@
     pub query_timeout_ms: u64,
     #[setting(default = 30000)]
     pub keepalive_idle_ms: u64,
-    #[setting(default = 10000)]
+    #[setting(default = 4000)]
     pub user_timeout_ms: u64,
     #[setting(default = 30000)]
     pub return_after_ms: u64,
--- a/crates/qh-core/src/check.rs
+++ b/crates/qh-core/src/check.rs
@@ -105,7 +105,7 @@
         let j = &self.judges;
         range(w, "judges.query_timeout_ms", j.query_timeout_ms, 100, 600_000);
         range(w, "judges.keepalive_idle_ms", j.keepalive_idle_ms, 1_000, 300_000);
-        range(w, "judges.user_timeout_ms", j.user_timeout_ms, 500, 120_000);
+        range(w, "judges.user_timeout_ms", j.user_timeout_ms, 500, 4_000);
         range(w, "judges.return_after_ms", j.return_after_ms, 500, 600_000);
         range(w, "judges.trial_good", j.trial_good, 1, 100);
         range(w, "judges.aside_at", j.aside_at, 1, 1_000);
--- a/crates/qh-core/src/http.rs
+++ b/crates/qh-core/src/http.rs
@@ -24,7 +24,7 @@
 
 impl Default for Watch {
     fn default() -> Self {
-        Self { idle: Duration::from_secs(30), user_timeout: Duration::from_secs(10) }
+        Self { idle: Duration::from_secs(30), user_timeout: Duration::from_secs(4) }
     }
 }
 
@@ -222,6 +222,6 @@
         assert_ne!(s.watched().unwrap(), Watch::default());
         s.watch(Watch::default()).unwrap();
         let w = s.watched().unwrap();
-        assert_eq!((w.idle.as_secs(), w.user_timeout.as_secs()), (30, 10));
+        assert_eq!((w.idle.as_secs(), w.user_timeout.as_secs()), (30, 4));
     }
 }
--- a/crates/qh-data/src/board.rs
+++ b/crates/qh-data/src/board.rs
@@ -12,6 +12,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
 
+/// A server that has not answered STATUS for so long gets no new work: it may be leaving.
+const HEARD: Ms = 3_000;
 /// Servers a node keeps account of at most.
 const SERVERS: usize = 1_024;
 
@@ -226,6 +228,10 @@
             _ => {}
         }
     }
+    /// Has it answered STATUS so lately that a word of its leaving cannot have been missed for 7 s (§4.9)?
+    pub fn heard_of(&self) -> bool {
+        now() < self.status.lock().unwrap().answered + HEARD
+    }
     pub fn leaving(&self) -> bool {
         self.status.lock().unwrap().left.is_some()
     }
--- a/crates/qh-data/src/choose.rs
+++ b/crates/qh-data/src/choose.rs
@@ -25,7 +25,7 @@
     let usable: Vec<_> = rows
         .iter()
         .filter(|r| !is_lead(r) && !r.leaving() && r.beat.read().unwrap().role == Role::Replica)
-        .filter(|r| r.status.lock().unwrap().answered > 0)
+        .filter(|r| r.heard_of())
         .collect();
     // A trial takes one visit, and only one with time left to go elsewhere.
     if room
@@ -55,12 +55,9 @@
         return Some(Choice { row: (**r).clone(), primary: false, trial: false, witness: false });
     }
     // None is left: the primary, if the placement holds it, under a share of its links (§4.7).
-    rows.iter().find(|r| is_lead(r) && !r.leaving() && !tried.contains(&r.name)).map(|r| Choice {
-        row: r.clone(),
-        primary: true,
-        trial: false,
-        witness: false,
-    })
+    rows.iter()
+        .find(|r| is_lead(r) && !r.leaving() && r.heard_of() && !tried.contains(&r.name))
+        .map(|r| Choice { row: r.clone(), primary: true, trial: false, witness: false })
 }
 
 /// A witness goes elsewhere after this.
--- a/crates/qh-data/src/order.rs
+++ b/crates/qh-data/src/order.rs
@@ -34,6 +34,9 @@
     if row.leaving() {
         return Err(none("it is leaving"));
     }
+    if !row.heard_of() {
+        return Err(none("it has not answered STATUS for 3 s"));
+    }
     Ok((row, lead.fence))
 }
 
--- a/crates/qh-lab/src/sim/net.rs
+++ b/crates/qh-lab/src/sim/net.rs
@@ -1,5 +1,5 @@
 //! Links and frames between simulated processes (§9.1). A link is a stream: what is lost on it is sent again, a cut
-//! delays it, and after ten seconds without an acknowledgement the kernel gives it up (§4.4).
+//! delays it, and after four seconds without an acknowledgement the kernel gives it up (§4.4).
 use super::core::{Core, Ev, Inner, Pid};
 use qh_core::Ms;
 use qh_core::rt::{Fut, OnBreak};
@@ -74,7 +74,7 @@
 }
 
 /// The kernel gives a stream up that was not acknowledged for so long.
-pub(super) const USER_TIMEOUT: Ms = 10_000;
+pub(super) const USER_TIMEOUT: Ms = 4_000;
 pub(super) const RESEND: Ms = 250;
 /// A frame's caller has given up by then.
 pub(super) const FRAME: Ms = 1_000;
