Which servers count towards commits is agreed through the chain, old and new lists both until settled

The lead's entry lists who counts, the promotion tells the server, the next promotion fences a majority of these; a server that comes or goes is taken up by handing the lead to itself.

--- a/crates/qh-control/src/promotion.rs
+++ b/crates/qh-control/src/promotion.rs
@@ -1,5 +1,6 @@
 //! Promotion of one group under one fence (§5.5). Sans-IO: the same steps run in a node and in the simulator.
-use qh_core::{Fence, Lead, Ms, Name, Position, messages};
+pub use crate::words::{In, Out, Phase, Plan};
+use qh_core::{Fence, Lead, Ms, Name, Position};
 use std::collections::BTreeMap;
 
 /// A promotion that has not come to its end by then is begun anew under a higher fence.
@@ -18,69 +19,6 @@
 /// A chosen server is asked this long to take the lead.
 const PROMOTE_FOR: Ms = 1_500;
 
-messages! {
-    #[derive(Copy, Eq)]
-    pub enum Phase { Taking, Closing, Draining, Fencing, Promoting, Naming, Done, Failed }
-}
-
-#[derive(Clone, Debug, PartialEq)]
-pub enum In {
-    Tick,
-    /// The chain gave a fence.
-    Fence(Fence),
-    /// The close is in force at every node.
-    Closed,
-    /// A server declines lower fences now; its log ends there.
-    Fenced(Name, Position),
-    Promoted(Name),
-    /// The server could not be promoted.
-    NotPromoted(Name),
-    /// Every live node says that nothing of the group is under way there.
-    Drained,
-    Named,
-    /// A higher fence is out: another node has taken this over.
-    Overtaken,
-}
-
-#[derive(Clone, Debug, PartialEq)]
-pub enum Out {
-    TakeFence {
-        key: Name,
-    },
-    SetLead {
-        key: Name,
-        lead: Lead,
-    },
-    FenceServer {
-        server: Name,
-        fence: Fence,
-    },
-    Promote {
-        server: Name,
-        fence: Fence,
-    },
-    /// Ask every node what is under way there.
-    CountOpen,
-    Say(String),
-}
-
-/// What is to be done.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Plan {
-    pub group: Name,
-    pub by: Name,
-    /// Tells this attempt's writes from any other's.
-    pub attempt: Name,
-    pub old: Option<Name>,
-    /// All servers of the group, the old primary too.
-    pub servers: Vec<Name>,
-    /// How many servers the group has; a majority of these must be fenced.
-    pub copies: usize,
-    /// The old primary is well: drain it first, and do not choose it.
-    pub planned: bool,
-    pub want: Option<Name>,
-}
-
 #[derive(Clone, Debug)]
 pub struct Promotion {
     pub plan: Plan,
@@ -129,7 +67,27 @@
         format!("{}/{what}", self.plan.attempt).into()
     }
     fn lead(&self, server: Option<Name>) -> Lead {
-        Lead { fence: self.fence, server, closed: self.plan.old.clone(), by: self.plan.by.clone() }
+        let (counts, before) = match (&server, self.plan.must.split_last()) {
+            // Until the new lead's log is on two of its own list, all lists hold (§5.5).
+            (Some(_), _) => (self.counts(), self.plan.must.clone()),
+            // Until another is named, what counted so far counts on.
+            (None, Some((last, before))) => (last.clone(), before.to_vec()),
+            (None, None) => (vec![], vec![]),
+        };
+        Lead {
+            fence: self.fence,
+            server,
+            closed: self.plan.old.clone(),
+            by: self.plan.by.clone(),
+            counts,
+            before,
+        }
+    }
+    /// Whoever is chosen counts itself.
+    fn counts(&self) -> Vec<Name> {
+        let mut c = self.plan.counts.clone();
+        c.extend(self.chosen.iter().filter(|n| !self.plan.counts.contains(n)).cloned());
+        c
     }
 
     /// What the present phase asks for, again and again until it is had.
@@ -152,7 +110,8 @@
             Phase::Fencing => self.fence_all(),
             Phase::Promoting => {
                 if let Some(server) = self.chosen.clone() {
-                    self.out.push(Out::Promote { server, fence: self.fence });
+                    let counts = self.counts();
+                    self.out.push(Out::Promote { server, fence: self.fence, counts });
                 }
             }
             Phase::Naming => {
@@ -226,15 +185,25 @@
     /// of three (§5.5). The old primary is chosen only if a majority cannot be had without it: it broke down,
     /// or it is to be relieved, and its log may well be the longest.
     fn choose(&mut self, now: Ms) {
-        let majority = |n: usize| n * 2 > self.plan.copies;
-        let others: Vec<_> = self.fenced.iter().filter(|(n, _)| Some(*n) != self.plan.old.as_ref()).collect();
+        let must = &self.plan.must;
+        let majority = |of: &[(&Name, &Position)]| {
+            let have = |n: &Name| of.iter().any(|(x, _)| *x == n);
+            let each = must.iter().all(|l| l.iter().filter(|n| have(n)).count() * 2 > l.len());
+            if must.is_empty() { of.len() * 2 > self.plan.copies } else { each }
+        };
+        // What an acknowledged commit is on counts under one of the lists; others may lack it.
+        let counts = |n: &Name| must.is_empty() || must.iter().any(|l| l.contains(n));
+        let pool: Vec<_> = self.fenced.iter().filter(|(n, _)| counts(n)).collect();
+        let stays = self.plan.want.is_some() && self.plan.want == self.plan.old;
+        let others: Vec<_> =
+            pool.iter().copied().filter(|(n, _)| stays || Some(*n) != self.plan.old.as_ref()).collect();
         let waited = now >= self.since + OTHERS_FIRST && !self.plan.planned;
-        let may: Vec<(&Name, &Position)> = match (majority(others.len()), waited) {
+        let may: Vec<(&Name, &Position)> = match (majority(&others), waited) {
             (true, _) => others,
-            (false, true) => self.fenced.iter().collect(),
+            (false, true) => pool,
             (false, false) => return,
         };
-        if !majority(may.len()) {
+        if !majority(&may) {
             return;
         }
         let ends = may.iter().map(|(_, p)| **p);
--- a/crates/qh-control/src/watch.rs
+++ b/crates/qh-control/src/watch.rs
@@ -30,6 +30,8 @@
     /// The lead's server says of itself that it does not lead under this fence, for so long.
     pub wrong: Option<Ms>,
     pub leaving: bool,
+    /// For so long a server has been there that does not count, or one that counts has gone in order.
+    pub strange: Option<Ms>,
     /// An operator asked for a hand-over.
     pub asked: Option<Option<Name>>,
 }
@@ -59,7 +61,7 @@
     if s.wrong.is_some_and(|ms| ms >= WRONG) {
         return Need::Now { planned: false };
     }
-    if s.leaving || s.asked.is_some() {
+    if s.leaving || s.asked.is_some() || s.strange.is_some_and(|ms| ms >= STRANGE) {
         return Need::Now { planned: true };
     }
     Need::Nothing
@@ -87,14 +89,47 @@
     pub others: usize,
 }
 
+/// A change among a group's servers is taken up after so long.
+pub const STRANGE: Ms = 1_500;
 /// A server that said it leaves and has not answered for so long has gone in order.
 pub const GONE: Ms = 2_500;
 
-/// How many servers a majority is taken of: as many as the group says it has, or as are known, if these are more. One
-/// that was replaced under another name may hold, with one other, what nobody else does; it is left out only once it
-/// has gone in order, which by the contract it does when its records are on the others (docs/server.md).
-pub fn counted(label: usize, servers: impl Iterator<Item = (bool, Option<Ms>)>) -> usize {
-    label.max(servers.filter(|(leaving, failing)| !leaving || failing.is_none_or(|ms| ms < GONE)).count())
+/// How a server looks to whoever looks after its group.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Seen {
+    pub name: Name,
+    pub leaving: bool,
+    pub failing: Option<Ms>,
+}
+
+impl Seen {
+    fn up(&self) -> bool {
+        !self.leaving && self.failing.is_none()
+    }
+    fn gone(&self) -> bool {
+        self.leaving && self.failing.is_some_and(|ms| ms >= GONE)
+    }
+}
+
+/// Who is to count under the next lead: all that are up; where these are fewer than the group says it has, others that
+/// counted so far, as they may come back.
+pub fn to_count(label: usize, seen: &[Seen], must: &[Name]) -> Vec<Name> {
+    let mut out: Vec<Name> = seen.iter().filter(|s| s.up()).map(|s| s.name.clone()).collect();
+    let rest = must.iter().chain(seen.iter().filter(|s| !s.gone()).map(|s| &s.name));
+    for n in rest {
+        if out.len() < label && !out.contains(n) {
+            out.push(n.clone());
+        }
+    }
+    out
+}
+
+/// Is there a server that ought to count and does not, or one that counts, has gone in order and is not needed?
+pub fn strange(label: usize, seen: &[Seen], must: &[Name]) -> bool {
+    let come = seen.iter().any(|s| s.up() && !must.contains(&s.name));
+    let enough = seen.iter().filter(|s| s.up()).count() >= label;
+    let gone = enough && seen.iter().any(|s| s.gone() && must.contains(&s.name));
+    !must.is_empty() && (come || gone)
 }
 
 impl Count {
@@ -158,17 +193,22 @@
     }
 
     #[test]
-    fn a_server_under_a_new_name_raises_the_majority_until_the_old_one_has_gone_in_order() {
-        let well = (false, None);
-        assert_eq!(counted(3, [well; 3].into_iter()), 3);
-        assert_eq!(counted(3, [well; 2].into_iter()), 3, "one that is not known yet counts");
-        assert_eq!(
-            counted(3, [well, well, well, (false, Some(60_000))].into_iter()),
-            4,
-            "a crash is no farewell"
-        );
-        assert_eq!(counted(3, [well, well, well, (true, Some(GONE - 1))].into_iter()), 4);
-        assert_eq!(counted(3, [well, well, well, (true, Some(GONE))].into_iter()), 3);
+    fn servers_that_come_and_go_change_who_counts_by_a_hand_over() {
+        let s = |n: &str, leaving, failing| Seen { name: n.into(), leaving, failing };
+        let well = |n: &str| s(n, false, None);
+        let must: Vec<Name> = ["a", "b", "c"].map(Name::from).into();
+        let all = [well("a"), well("b"), well("c")];
+        assert!(!strange(3, &all, &must) && !strange(3, &all, &[]));
+        // One that crashed may come back: it counts on until another has taken its place.
+        let crashed = [well("a"), well("b"), s("c", false, Some(90_000))];
+        assert!(!strange(3, &crashed, &must));
+        assert_eq!(to_count(3, &crashed, &must), must);
+        let replaced = [well("a"), well("b"), s("c", false, Some(90_000)), well("d")];
+        assert!(strange(3, &replaced, &must));
+        assert_eq!(to_count(3, &replaced, &must), ["a", "b", "d"].map(Name::from));
+        let four: Vec<Name> = ["a", "b", "c", "d"].map(Name::from).into();
+        assert!(strange(3, &[well("a"), well("b"), s("c", true, Some(GONE)), well("d")], &four));
+        assert!(!strange(3, &[well("a"), well("b"), s("c", true, Some(GONE - 1)), well("d")], &four));
     }
 
     #[test]
--- /dev/null
+++ b/crates/qh-control/src/words.rs
@@ -0,0 +1,71 @@
+//! What goes into a promotion's steps and what comes out of them (§5.5).
+use qh_core::{Fence, Lead, Name, Position, messages};
+
+messages! {
+    #[derive(Copy, Eq)]
+    pub enum Phase { Taking, Closing, Draining, Fencing, Promoting, Naming, Done, Failed }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum In {
+    Tick,
+    /// The chain gave a fence.
+    Fence(Fence),
+    /// The close is in force at every node.
+    Closed,
+    /// A server declines lower fences now; its log ends there.
+    Fenced(Name, Position),
+    Promoted(Name),
+    /// The server could not be promoted.
+    NotPromoted(Name),
+    /// Every live node says that nothing of the group is under way there.
+    Drained,
+    Named,
+    /// A higher fence is out: another node has taken this over.
+    Overtaken,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Out {
+    TakeFence {
+        key: Name,
+    },
+    SetLead {
+        key: Name,
+        lead: Lead,
+    },
+    FenceServer {
+        server: Name,
+        fence: Fence,
+    },
+    Promote {
+        server: Name,
+        fence: Fence,
+        counts: Vec<Name>,
+    },
+    /// Ask every node what is under way there.
+    CountOpen,
+    Say(String),
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    pub group: Name,
+    pub by: Name,
+    /// Tells this attempt's writes from any other's.
+    pub attempt: Name,
+    pub old: Option<Name>,
+    /// All servers of the group, the old primary too.
+    pub servers: Vec<Name>,
+    /// How many servers the group has; a majority of these must be fenced.
+    pub copies: usize,
+    /// The old primary is well: drain it first, and do not choose it.
+    pub planned: bool,
+    pub want: Option<Name>,
+    /// Servers that count under the present lead, and under those before it that may still hold what it does not; a
+    /// majority of each list must be fenced. None before the first lead.
+    pub must: Vec<Vec<Name>>,
+    /// Servers that are to count under the next.
+    pub counts: Vec<Name>,
+}
--- a/crates/qh-core/src/words.rs
+++ b/crates/qh-core/src/words.rs
@@ -39,7 +39,13 @@
 
     /// Who leads a group, as the chain says (§5.5). `None` while hands change.
     #[derive(Eq, Default)]
-    pub struct Lead { pub fence: Fence, pub server: Option<Name>, pub closed: Option<Name>, pub by: Name }
+    pub struct Lead {
+        pub fence: Fence, pub server: Option<Name>, pub closed: Option<Name>, pub by: Name,
+        /// Servers that count towards its commits; the next promotion fences a majority of these (§5.5).
+        pub counts: Vec<Name>,
+        /// Lists from before, which hold beside it until the lead's log is on two of the new one.
+        pub before: Vec<Vec<Name>>
+    }
 }
 
 impl Beat {
--- a/crates/qh-data/src/platform.rs
+++ b/crates/qh-data/src/platform.rs
@@ -3,8 +3,18 @@
 use serde_json::{Value, json};
 
 /// Asks the platform to have `server` lead its group under `fence`.
-pub fn promote(group: &str, server: &str, addr: &Name, fence: Fence, node: &str) -> (&'static str, Value) {
-    ("/v1/promote", json!({"group": group, "server": server, "addr": addr, "fence": fence, "node": node}))
+pub fn promote(
+    group: &str,
+    server: &str,
+    addr: &Name,
+    fence: Fence,
+    node: &str,
+    counts: &[Name],
+) -> (&'static str, Value) {
+    (
+        "/v1/promote",
+        json!({"group": group, "server": server, "addr": addr, "fence": fence, "node": node, "counts": counts}),
+    )
 }
 
 /// What the platform's answer to a promotion means.
--- a/crates/qh-lab/src/db.rs
+++ b/crates/qh-lab/src/db.rs
@@ -52,6 +52,7 @@
     Rec(Rec),
     Cut(u64),
     Fence(Fence, Role),
+    Counts(Vec<Name>),
 }
 
 #[derive(Clone, Debug, Default)]
@@ -65,6 +66,7 @@
     pub kv: BTreeMap<String, Value>,
     tries: BTreeMap<Name, Outcome>,
     pub(crate) matched: BTreeMap<Name, u64>,
+    pub(crate) counts: Vec<Name>,
     pub lines: Vec<Line>,
     /// A primary's log when it took the lead or came back: reads wait until that much is visible (§3.2).
     whole_at: u64,
@@ -111,6 +113,7 @@
                 Line::Rec(r) => d.log.push(r),
                 Line::Cut(n) => d.log.truncate(n as usize),
                 Line::Fence(f, r) => (d.fence, d.role) = (f, r),
+                Line::Counts(c) => d.counts = c,
             }
         }
         d.whole_at = d.log.len() as u64;
@@ -141,7 +144,8 @@
         }
         f >= self.fence
     }
-    pub fn promote(&mut self, f: Fence) -> bool {
+    /// Leads from now on; only these others count towards its commits, or any if none are named.
+    pub fn promote(&mut self, f: Fence, counts: Vec<Name>) -> bool {
         if f < self.fence {
             return false;
         }
@@ -152,6 +156,8 @@
         self.role = Role::Primary;
         self.matched.clear();
         self.lines.push(Line::Fence(f, self.role));
+        self.lines.push(Line::Counts(counts.clone()));
+        self.counts = counts;
         self.whole_at = self.push(Kind::Start);
         true
     }
--- a/crates/qh-lab/src/db_repl.rs
+++ b/crates/qh-lab/src/db_repl.rs
@@ -21,7 +21,7 @@
             return Some(Pulled { fence: self.fence, commit: 0, recs: vec![], fences: Some(fences) });
         }
         // Only a replica that already declines lower fences may count.
-        if p.fence == self.fence {
+        if p.fence == self.fence && (self.counts.is_empty() || self.counts.contains(&p.server)) {
             let m = self.matched.entry(p.server.clone()).or_default();
             *m = (*m).max(have);
             self.advance();
@@ -80,7 +80,7 @@
     #[test]
     fn a_primary_that_comes_back_answers_no_read_before_all_is_visible() {
         let (mut a, mut b) = (Db::new("a"), Db::new("b"));
-        a.promote(1);
+        a.promote(1, vec![]);
         sync(&mut a, &mut b);
         a.add_commit("t1", "x", vec![Write::Add("x".into(), 1)], Value::Null);
         sync(&mut a, &mut b);
@@ -95,7 +95,7 @@
     #[test]
     fn a_commit_counts_only_on_two_and_an_old_primary_is_cut_back() {
         let (mut a, mut b, mut c) = (Db::new("a"), Db::new("b"), Db::new("c"));
-        assert!(a.promote(1));
+        assert!(a.promote(1, vec![]));
         sync(&mut a, &mut b);
         let n = a.add_commit("t1", "x", vec![Write::Add("x".into(), 1)], Value::Null);
         assert!(a.commit < n);
@@ -105,7 +105,7 @@
         // b and c are fenced; b is ahead and is promoted. The old primary's lone record must go.
         assert!(b.set_fence(2) && c.set_fence(2));
         assert!(a.pull(&Pull { server: "b".into(), fence: 2, have: b.end() }, 9).is_none());
-        assert!(b.promote(2));
+        assert!(b.promote(2, vec![]));
         sync(&mut b, &mut c);
         sync(&mut b, &mut a);
         assert_eq!(a.kv.get("x"), Some(&Value::from(1)));
--- a/crates/qh-lab/src/platform.rs
+++ b/crates/qh-lab/src/platform.rs
@@ -107,7 +107,14 @@
         }
         st.fences.insert(group, (fence, node, server));
     }
-    match post(&addr, "/v1/promote", &json!({"fence": fence}), Duration::from_millis(700)).await {
+    match post(
+        &addr,
+        "/v1/promote",
+        &json!({"fence": fence, "counts": b["counts"]}),
+        Duration::from_millis(700),
+    )
+    .await
+    {
         Ok((200, _)) => (200, json!({"promoted": true})),
         Ok((_, v)) => (502, v),
         Err(e) => (504, json!({"error": e.to_string()})),
--- a/crates/qh-lab/src/pushing.rs
+++ b/crates/qh-lab/src/pushing.rs
@@ -61,7 +61,8 @@
 
 /// Two at once on one edition and a broken one beside them; the winner once more; then one alone.
 pub async fn pushes(desks: &[String], text: &str, w: &Arc<World>, mark: u64) {
-    let Some(base) = status(desks).await["edition"].as_u64() else { return };
+    // A node that has just started knows of no edition yet.
+    let Some(base) = status(desks).await["edition"].as_u64().filter(|e| *e > 0) else { return };
     let push = |base, text: String, key: String| Push { desks, w, base, text, key };
     let (a, b, x) = (
         push(base, marked(text, mark), format!("a{mark}")),
--- a/crates/qh-lab/src/sim/faults.rs
+++ b/crates/qh-lab/src/sim/faults.rs
@@ -138,6 +138,8 @@
         Fault::Leave(s, ms) => {
             l.leave(s, true);
             let p = l.servers[s].pid;
+            // Another comes in its place, under its own name; the old one may be back as well.
+            l.core.restart(l.spares[s / l.shape.copies].pid);
             after(l, 8_000, move |l| l.core.crash(p, false));
             after(l, 8_000 + ms, move |l| {
                 l.core.restart(p);
@@ -174,7 +176,7 @@
             m.cuts.clear();
         }
         let n = self.core.lock().hosts.len();
-        for p in (0..n).filter(|p| self.spares.iter().all(|s| s.pid != *p)) {
+        for p in 0..n {
             self.core.pause(p, 0);
             self.core.restart(p);
         }
--- a/crates/qh-lab/src/stand/calls.rs
+++ b/crates/qh-lab/src/stand/calls.rs
@@ -58,7 +58,10 @@
             })
         }
         "/v1/promote" => {
-            let ok = s.with(|d| d.promote(num(&b, "fence")));
+            let counts =
+                b["counts"].as_array().into_iter().flatten().filter_map(|n| n.as_str().map(Into::into));
+            let counts: Vec<qh_core::Name> = counts.collect();
+            let ok = s.with(|d| d.promote(num(&b, "fence"), counts));
             Ok(if ok { s.good(json!([])) } else { s.bad("fence-low", "") })
         }
         "/v1/outcome" => outcome(s, &b).await,
--- a/crates/qh-lab/tests/kit/mod.rs
+++ b/crates/qh-lab/tests/kit/mod.rs
@@ -42,7 +42,7 @@
             tokio::spawn(net::serve(s.clone(), lst));
             stands.push(s);
         }
-        stands[0].with(|d| d.promote(1));
+        stands[0].with(|d| d.promote(1, vec![]));
         let any = || "127.0.0.1:1".to_owned();
         let set = NodeSettings {
             name: "n1".into(),
@@ -62,7 +62,14 @@
             node.board.beat(s.beat());
         }
         let blueprint = Some(Arc::new(Blueprint::read(&format!("{BASE}{more}")).unwrap()));
-        let lead = Lead { fence: 1, server: Some("s1".into()), closed: None, by: "n1".into() };
+        let lead = Lead {
+            fence: 1,
+            server: Some("s1".into()),
+            closed: None,
+            by: "n1".into(),
+            counts: vec![],
+            before: vec![],
+        };
         let leads = [("g1".into(), lead)].into();
         node.board.set_plan(Plan { n: 1, edition: 1, blueprint, leads });
         node.board.renew_lease(now() + 600_000);
--- a/crates/qhd/src/dutyd.rs
+++ b/crates/qhd/src/dutyd.rs
@@ -1,6 +1,7 @@
 //! Duties of this node (§6.3): looks after the leads of the groups that fall to it.
+use crate::listd::{seen, settle_lists};
 use crate::{Fleet, groupd};
-use qh_control::watch::{Count, Eye, Need, Sight, counted, dead, need};
+use qh_control::watch::{Count, Eye, Need, Sight, dead, need, strange, to_count};
 use qh_core::rt;
 use qh_core::{Lead, Ms, Name, State, now};
 use qh_mesh::{NodeAsk, NodeRep};
@@ -50,6 +51,7 @@
     lead: Option<Lead>,
     since: Ms,
     wrong: Option<Ms>,
+    strange: Option<Ms>,
     rest_until: Ms,
     task: Option<rt::Task>,
     fenced_at: Ms,
@@ -122,11 +124,6 @@
         .filter_map(|r| r.beat.read().unwrap().labels.get("copies").and_then(|c| c.parse().ok()))
         .max()
         .unwrap_or(3);
-    let sign = |r: &Arc<qh_data::board::ServerRow>| {
-        let st = r.status.lock().unwrap();
-        (st.left.is_some(), st.failing.map(|at| now().saturating_sub(at)))
-    };
-    let copies = counted(copies, rows.iter().map(sign));
     let mut s = Sight {
         lead: st.lead.clone(),
         lead_for: now().saturating_sub(st.since),
@@ -135,6 +132,10 @@
         asked: f.duty.wants.lock().unwrap().get(g).cloned(),
         ..Default::default()
     };
+    let must = st.lead.as_ref().map_or(&[][..], |l| &l.counts);
+    let odd = strange(copies, &seen(f, g), must);
+    st.strange = if odd { st.strange.or(Some(now())) } else { None };
+    s.strange = st.strange.map(|at| now() - at);
     let named = st.lead.as_ref().and_then(|l| l.server.clone().map(|s| (s, l.fence)));
     let Some((row, fence)) = named.and_then(|(n, fe)| rows.iter().find(|r| r.name == n).map(|r| (r, fe)))
     else {
@@ -160,6 +161,7 @@
 async fn look(f: &Arc<Fleet>, g: &Name, st: &mut Group) {
     let s = sight(f, g, st);
     fence_stragglers(f, g, st).await;
+    settle_lists(f, g, &s);
     if now() < st.rest_until {
         return;
     }
@@ -175,6 +177,14 @@
     };
     let want = f.duty.wants.lock().unwrap().remove(g).flatten();
     let old = s.lead.as_ref().and_then(|l| l.server.clone().or_else(|| l.closed.clone()));
+    // Where only the servers changed, the lead stays, under a new fence.
+    let stays = planned && !s.leaving && s.asked.is_none();
+    let want = if stays { old.clone() } else { want };
+    let last = s.lead.as_ref().map_or_else(Vec::new, |l| l.counts.clone());
+    let counts = to_count(s.copies, &seen(f, g), &last);
+    let mut must = s.lead.as_ref().map_or_else(Vec::new, |l| l.before.clone());
+    must.extend(Some(last).filter(|l| !l.is_empty()));
+    must.dedup();
     let plan = qh_control::promotion::Plan {
         group: g.clone(),
         by: f.mesh.me.clone(),
@@ -184,6 +194,8 @@
         copies: s.copies,
         planned,
         want,
+        must,
+        counts,
     };
     st.task = Some(rt::spawn(groupd::promote(f.clone(), plan)));
 }
--- a/crates/qhd/src/groupd.rs
+++ b/crates/qhd/src/groupd.rs
@@ -85,7 +85,7 @@
             }
         }
         Out::FenceServer { server, fence } => fence_one(f, server, fence).await,
-        Out::Promote { server, fence } => promote_one(f, plan, server, fence).await,
+        Out::Promote { server, fence, counts } => promote_one(f, plan, server, fence, &counts).await,
         Out::CountOpen => count_open(f, &plan.group).await,
         Out::Say(_) => In::Tick,
     }
@@ -115,9 +115,9 @@
     }
 }
 
-async fn promote_one(f: &Fleet, plan: &Plan, server: Name, fence: Fence) -> In {
+async fn promote_one(f: &Fleet, plan: &Plan, server: Name, fence: Fence, counts: &[Name]) -> In {
     let Some(row) = f.node.board.row(&server) else { return In::NotPromoted(server) };
-    let (path, body) = platform::promote(&plan.group, &server, &row.addr(), fence, &plan.by);
+    let (path, body) = platform::promote(&plan.group, &server, &row.addr(), fence, &plan.by, counts);
     let status = post(&f.node.set.platform, path, &body, CALL).await.ok().map(|r| r.0);
     match platform::promoted(status) {
         Promoted::Done => In::Promoted(server),
--- a/crates/qhd/src/lib.rs
+++ b/crates/qhd/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod dutyd;
 pub mod feed;
 pub mod groupd;
+pub mod listd;
 pub mod meshd;
 pub mod ops;
 pub mod report;
