--- a/crates/qh-lab/src/sim/run.rs
+++ b/crates/qh-lab/src/sim/run.rs
@@ -7,7 +7,7 @@
 use crate::load::{Caller, World};
 use crate::pushing::pushes;
 use crate::scenario::op;
-use qh_core::{Ms, now, rt};
+use qh_core::{Ms, rt};
 use serde_json::json;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -128,7 +128,6 @@
             settle(&v, seed).await;
             let f = facts(&desks, &servers).await;
             *g.lock().unwrap() = Some(f);
-            let _ = now();
         })
     });
     for _ in 0..60 {
