--- a/crates/qh-state/tests/news.rs
+++ b/crates/qh-state/tests/news.rs
@@ -3,9 +3,9 @@
 
 use assert_matches::assert_matches;
 use kit::Net;
-use qh_core::{Lead, Role, Standing};
+use qh_core::{Lead, Role, ServerRecord};
 use qh_state::patch::{Packed, Patch};
-use qh_state::{Ask, Cmd, Known, Rep, Told};
+use qh_state::{Command, FeedSnapshot, FeedState, Reply, Request};
 
 /// A blueprint as long as those of hundreds of databases are.
 fn blueprint(rules: usize, timeout: usize) -> String {
@@ -17,12 +17,12 @@
     format!(r#"{{"rules":[{}]}}"#, (0..rules).map(rule).collect::<Vec<_>>().join(","))
 }
 
-fn adopt(number: u64, text: String) -> Cmd {
-    Cmd::Adopt { number, source: text.clone(), text, by: "t".into() }
+fn adopt(number: u64, text: String) -> Command {
+    Command::Adopt { number, source: text.clone(), text, by: "t".into() }
 }
 
-fn stand(server: &str, addr: &str, seq: u64) -> Cmd {
-    let at = Standing {
+fn stand(server: &str, addr: &str, seq: u64) -> Command {
+    let at = ServerRecord {
         server: server.into(),
         group: "g".into(),
         addr: addr.into(),
@@ -32,7 +32,7 @@
         role: Role::Replica,
         seq,
     };
-    Cmd::Stand { at }
+    Command::RegisterServer { at }
 }
 
 struct Fed {
@@ -48,33 +48,33 @@
         let enrolled = net.enroll("n", 1_000_000);
         Fed { net, token: 0, enrolled }
     }
-    fn write(&mut self, cmd: Cmd) {
+    fn write(&mut self, cmd: Command) {
         let head = self.net.tail().and_then(|t| self.net.view(&t).head().cloned()).unwrap();
         self.token += 1;
         let key = format!("k{}", self.token).into();
-        self.net.ask(&head, self.token, Ask::Write { key, cmd });
+        self.net.ask(&head, self.token, Request::Write { key, cmd });
         self.net.run(100);
     }
-    fn poll(&mut self, have: u64) -> Rep {
+    fn poll(&mut self, have: u64) -> Reply {
         self.token += 1;
         self.net.poll("n", self.token, self.enrolled, have);
         // Where there is nothing new, the poll is held for a while.
         self.net.run(2_000);
         self.net.rep(self.token).unwrap()
     }
-    fn follow(&mut self, k: &mut Known) -> usize {
+    fn follow(&mut self, k: &mut FeedState) -> usize {
         let rep = self.poll(k.n);
         let size = borsh::to_vec(&rep).unwrap().len();
         match rep {
-            Rep::Changes { changes, .. } => assert!(changes.iter().all(|c| k.apply(c))),
-            Rep::Told { told, .. } => *k = Known::of(*told).unwrap(),
+            Reply::Changes { changes, .. } => assert!(changes.iter().all(|c| k.apply(c))),
+            Reply::Snapshot { snapshot, .. } => *k = FeedState::of(*snapshot).unwrap(),
             other => panic!("{other:?}"),
         }
         size
     }
-    fn store(&self) -> Known {
+    fn store(&self) -> FeedState {
         let s = &self.net.ks["c"].store;
-        Known::of(Told::of(s, Packed::of(s.blueprint().map_or("", |k| &k.text)))).unwrap()
+        FeedState::of(FeedSnapshot::of(s, Packed::of(s.blueprint().map_or("", |k| &k.text)))).unwrap()
     }
 }
 
@@ -83,7 +83,7 @@
     let mut f = Fed::new();
     let long = blueprint(900, 1_000);
     f.write(adopt(1, long.clone()));
-    let mut k = Known::default();
+    let mut k = FeedState::default();
     let first = f.follow(&mut k);
     assert!(first * 4 < long.len(), "{first} bytes for {}", long.len());
     f.write(adopt(2, blueprint(900, 1_500)));
@@ -95,22 +95,22 @@
 #[test]
 fn who_follows_change_by_change_knows_what_the_store_holds() {
     let mut f = Fed::new();
-    let mut k = Known::default();
+    let mut k = FeedState::default();
     let lead = |fence| Lead { fence, server: Some("s2".into()), ..Default::default() };
     let cmds = [
         stand("s1", "10.0.0.1:1", 1),
         stand("s2", "10.0.0.2:1", 1),
         adopt(3, blueprint(20, 100)),
         stand("s1", "10.0.0.1:1", 1),
-        Cmd::TakeFence { duty: "lead/g".into(), by: "n".into() },
-        Cmd::SetLead { group: "g".into(), lead: lead(1) },
+        Command::TakeFence { duty: "lead/g".into(), by: "n".into() },
+        Command::SetLead { group: "g".into(), lead: lead(1) },
         // Declined: under a fence that was never taken out, and older than what is there.
-        Cmd::SetLead { group: "g".into(), lead: lead(0) },
+        Command::SetLead { group: "g".into(), lead: lead(0) },
         adopt(2, blueprint(5, 100)),
         // A stranger at a known address takes it over.
         stand("s3", "10.0.0.1:1", 1),
         adopt(4, blueprint(30, 200)),
-        Cmd::Depart { server: "s2".into() },
+        Command::DeregisterServer { server: "s2".into() },
         adopt(9, String::new()),
     ];
     for c in cmds {
@@ -127,13 +127,13 @@
     (1..=12).for_each(|i| f.write(adopt(i, blueprint(900, i as usize))));
     // All keepers begin anew: their logs reach back, the news do not.
     for (n, k) in std::mem::take(&mut f.net.ks) {
-        let found = qh_state::keeper::Found { view: k.view, store: k.store, ..Default::default() };
+        let found = qh_state::keeper::RecoveredState { view: k.view, store: k.store, ..Default::default() };
         f.net.ks.insert(n.clone(), qh_state::Keeper::new(n, f.net.now, found));
     }
     f.net.run(8_000);
     let rep = f.poll(0);
     let size = borsh::to_vec(&rep).unwrap().len();
-    assert_matches!(&rep, Rep::Told { told, .. } if told.edition == 12);
+    assert_matches!(&rep, Reply::Snapshot { snapshot, .. } if snapshot.version == 12);
     assert!(size < 40_000, "{size} bytes");
 }
 
--- a/crates/qh-state/tests/roll.rs
+++ b/crates/qh-state/tests/roll.rs
@@ -5,15 +5,15 @@
 use kit::Net;
 use qh_core::{Lead, Ms, Name};
 use qh_state::terms::NODE_LEASE;
-use qh_state::{Answer, Ask, Cmd, Rep};
+use qh_state::{Answer, Command, Reply, Request};
 
 fn close(net: &mut Net, token: u64) {
     let head = net.tail().and_then(|t| net.view(&t).head().cloned()).unwrap();
-    let cmd = Cmd::SetLead { group: "g".into(), lead: Lead { fence: 1, ..Default::default() } };
-    net.ask(&head, token, Ask::Write { key: "close".into(), cmd });
+    let cmd = Command::SetLead { group: "g".into(), lead: Lead { fence: 1, ..Default::default() } };
+    net.ask(&head, token, Request::Write { key: "close".into(), cmd });
 }
 fn closed(net: &Net, token: u64) -> bool {
-    matches!(net.rep(token), Some(Rep::Answer { answer: Answer::Lead(_), .. }))
+    matches!(net.rep(token), Some(Reply::Answer { answer: Answer::Lead(_), .. }))
 }
 /// Runs until another keeper than `old` is the tail.
 fn new_tail(net: &mut Net, old: &Name) -> Ms {
@@ -67,15 +67,15 @@
     let (mut net, n1, _) = begun();
     net.poll("n2", 2, n1, 0);
     net.run(40);
-    assert_matches!(net.rep(2), Some(Rep::Enroll));
+    assert_matches!(net.rep(2), Some(Reply::Enroll));
     // The next process of a node is another: what enrolled the last one does not do.
     let next = net.enroll("n1", 3);
     net.poll("n1", 4, n1, next);
     net.run(40);
-    assert_matches!(net.rep(4), Some(Rep::Enroll));
+    assert_matches!(net.rep(4), Some(Reply::Enroll));
     net.poll("n1", 5, next, 0);
     net.run(40);
-    assert_matches!(net.rep(5), Some(Rep::Changes { .. } | Rep::Told { .. }));
+    assert_matches!(net.rep(5), Some(Reply::Changes { .. } | Reply::Snapshot { .. }));
 }
 
 /// It was struck off while it held a lease, and then the tail died: its lease counts all the same.
@@ -92,8 +92,8 @@
         }
         net.poll("n1", 2, n1, n1);
         let head = net.tail().and_then(|t| net.view(&t).head().cloned()).unwrap();
-        let cmd = Cmd::Dismiss { node: "n1".into(), enrolled: n1 };
-        net.ask(&head, 3, Ask::Write { key: "d".into(), cmd });
+        let cmd = Command::Dismiss { node: "n1".into(), enrolled: n1 };
+        net.ask(&head, 3, Request::Write { key: "d".into(), cmd });
         net.run(100);
         let old = net.tail().unwrap();
         new_tail(&mut net, &old);
--- a/crates/qh/src/args.rs
+++ b/crates/qh/src/args.rs
@@ -11,8 +11,8 @@
   placements                   placements, their servers and rules
   push FILE [--dry-run] [--base N] [--key WORD]
                                push a blueprint (TOML or JSON); --dry-run only checks and shows the difference
-  history                      editions that are kept
-  rollback EDITION             a new edition with an old one's content
+  history                      versions that are kept
+  rollback EDITION             a new version with an old one's content
   explain server NAME          why each node judges a server as it does
   explain visit ID             the path one visit took
   explain promotions           what promotions were done and why
@@ -63,7 +63,7 @@
             Long("base") => {
                 let v = val(&mut p)?;
                 body["base"] =
-                    json!(v.parse::<u64>().map_err(|_| format!("--base: {v:?} is not an edition"))?);
+                    json!(v.parse::<u64>().map_err(|_| format!("--base: {v:?} is not a version"))?);
             }
             Long(k @ ("key" | "to" | "add" | "remove")) => {
                 let k = k.to_owned();
@@ -82,8 +82,8 @@
             "push"
         }
         ["rollback", e] => {
-            let n = e.parse::<u64>().map_err(|_| format!("{e:?} is not an edition"))?;
-            body["edition"] = json!(n);
+            let n = e.parse::<u64>().map_err(|_| format!("{e:?} is not a version"))?;
+            body["version"] = json!(n);
             "rollback"
         }
         ["explain", k @ ("server" | "visit"), v] => {
--- a/crates/qh/src/call.rs
+++ b/crates/qh/src/call.rs
@@ -1,11 +1,11 @@
 //! One call to a node's desk.
 use crate::args::Args;
 use qh_core::http::{Call, once};
-use qh_core::{Breakdown, Code};
+use qh_core::{Code, Error};
 use serde_json::Value;
 use std::time::Duration;
 
-pub fn ask(a: &Args) -> Result<Value, Breakdown> {
+pub fn ask(a: &Args) -> Result<Value, Error> {
     let gone = |e: std::io::Error| Code::Unreachable.because(format_args!("{}: {e}", a.node));
     let rt = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(gone)?;
     let path = format!("/op/{}", a.cmd);
@@ -17,5 +17,5 @@
     let code = v["error"]["code"].as_u64().unwrap_or(0) as u16;
     let text = v["error"]["text"].as_str().unwrap_or("the node gave no reason").into();
     let bare = Code::from_number(code).unwrap_or(Code::Unreachable).bare();
-    Err(Breakdown { code, text, ..bare })
+    Err(Error { code, text, ..bare })
 }
--- a/crates/qh/src/show.rs
+++ b/crates/qh/src/show.rs
@@ -36,7 +36,7 @@
 
 fn nodes(v: &Value) -> String {
     const KEYS: [&str; 10] = [
-        "district", "ready", "edition", "change", "lease_ms", "sessions", "kept", "nothing", "unknown", "why",
+        "district", "ready", "version", "change", "lease_ms", "sessions", "kept", "nothing", "unknown", "why",
     ];
     let mut head = vec!["NODE"];
     let up: Vec<String> = KEYS.iter().map(|k| k.to_uppercase()).collect();
@@ -57,10 +57,10 @@
     let view = &v["view"];
     let members: Vec<String> = list(view, "members").map(s).collect();
     let mut out = format!(
-        "edition {}  change {}  view {}: {}\n\n",
-        v["edition"],
+        "version {}  change {}  view {}: {}\n\n",
+        v["version"],
         v["change"],
-        view["edition"],
+        view["version"],
         members.join(" -> ")
     );
     let ks = list(v, "keepers").map(|k| {
@@ -158,7 +158,7 @@
             out
         }
         "history" => {
-            let body = list(v, "history").map(|r| cells(r, &["edition", "by", "bytes"]));
+            let body = list(v, "history").map(|r| cells(r, &["version", "by", "bytes"]));
             rows(&["EDITION", "BY", "BYTES"], body.collect())
         }
         "push" | "rollback" => {
@@ -166,9 +166,9 @@
             for p in list(v, "no_server_yet") {
                 out += &format!("note: no known server is in placement {}\n", s(p));
             }
-            let said = v["edition"].as_u64().map_or_else(
-                || format!("valid; it would build on edition {}\n", v["builds_on"]),
-                |e| format!("edition {e} is in force\n"),
+            let said = v["version"].as_u64().map_or_else(
+                || format!("valid; it would build on version {}\n", v["builds_on"]),
+                |e| format!("version {e} is in force\n"),
             );
             out + &said
         }
--- a/crates/qhd/src/args.rs
+++ b/crates/qhd/src/args.rs
@@ -1,7 +1,7 @@
 //! Flags and settings of qhd (§8.1). A flag wins over the file.
 use qh_core::logs::Log;
 use qh_core::settings::{NodeSettings, read as read_file};
-use qh_core::{Breakdown, Code};
+use qh_core::{Code, Error};
 use std::time::{Duration, SystemTime};
 
 pub const HELP: &str = "qhd: a node of quincehatch
@@ -25,14 +25,14 @@
   -h, --help        this text
   -V, --version     the version";
 
-fn bad(e: impl std::fmt::Display) -> Breakdown {
+fn bad(e: impl std::fmt::Display) -> Error {
     Code::BadSettings.because(e)
 }
 
 /// The settings, or nothing when all that was asked for is said.
 pub fn read_from(
     args: impl IntoIterator<Item = std::ffi::OsString>,
-) -> Result<Option<(NodeSettings, bool)>, Breakdown> {
+) -> Result<Option<(NodeSettings, bool)>, Error> {
     use lexopt::prelude::*;
     let mut p = lexopt::Parser::from_args(args);
     let mut file = None;
@@ -104,7 +104,7 @@
     }
 }
 
-pub fn read() -> Result<Option<NodeSettings>, Breakdown> {
+pub fn read() -> Result<Option<NodeSettings>, Error> {
     read_from(std::env::args_os().skip(1)).map(|r| {
         r.and_then(|(s, check)| {
             if check {
--- a/crates/qhd/src/chainc.rs
+++ b/crates/qhd/src/chainc.rs
@@ -1,8 +1,10 @@
 //! Writes to the chain's head, sent again under the same key until they are answered (§5.2).
 use qh_core::rt;
 use qh_core::wire::Caller;
-use qh_core::{Breakdown, Code, Name, now};
-use qh_state::{Adopted, Answer, Ask, Cmd, KeeperStatus, Knock, Knocked, Rep, Store, View};
+use qh_core::{Code, Error, Name, now};
+use qh_state::{
+    Adopted, Answer, Command, KeeperRequest, KeeperResponse, KeeperStatus, Reply, Request, Store, View,
+};
 use std::sync::Mutex;
 use std::time::Duration;
 
@@ -31,10 +33,10 @@
             *self.keepers.lock().unwrap() = keepers.to_vec();
         }
     }
-    pub async fn ask(&self, addr: &str, ask: Ask, within: Duration) -> Result<Rep, Breakdown> {
-        match self.caller.call::<_, Knocked>(addr, &Knock::Node { ask }, within).await? {
-            Knocked::Rep { rep } => Ok(rep),
-            Knocked::Taken => Err(Code::ChainDown.because("an answer that is none")),
+    pub async fn ask(&self, addr: &str, ask: Request, within: Duration) -> Result<Reply, Error> {
+        match self.caller.call::<_, KeeperResponse>(addr, &KeeperRequest::Node { ask }, within).await? {
+            KeeperResponse::Reply { rep } => Ok(rep),
+            KeeperResponse::Taken => Err(Code::ChainDown.because("an answer that is none")),
         }
     }
     pub fn view(&self) -> View {
@@ -42,7 +44,7 @@
     }
     pub fn learn(&self, v: View) {
         let mut cur = self.view.lock().unwrap();
-        if v.edition > cur.edition {
+        if v.version > cur.version {
             *cur = v;
         }
     }
@@ -69,11 +71,11 @@
     }
 
     /// Writes, wherever the head is by then.
-    pub async fn write(&self, key: &str, cmd: Cmd, within: Duration) -> Result<Answer, Breakdown> {
+    pub async fn write(&self, key: &str, cmd: Command, within: Duration) -> Result<Answer, Error> {
         let until = now() + within.as_millis() as u64;
         let mut to = self.head();
         loop {
-            let ask = Ask::Write { key: Name::from(key), cmd: cmd.clone() };
+            let ask = Request::Write { key: Name::from(key), cmd: cmd.clone() };
             let left = Duration::from_millis(until.saturating_sub(now()).clamp(1, 9_000));
             // A head that went dark does not even decline: whoever waits on it looks where the head is by now.
             let got = match rt::first(self.ask(&to, ask, left), self.headed_elsewhere(&to)).await {
@@ -84,17 +86,17 @@
                 }
             };
             let why = match got {
-                Ok(Rep::Answer { answer: Answer::Declined(b), .. }) => return Err(b),
-                Ok(Rep::Answer { answer, .. }) => return Ok(answer),
-                Ok(Rep::Elsewhere { view }) => {
+                Ok(Reply::Answer { answer: Answer::Declined(b), .. }) => return Err(b),
+                Ok(Reply::Answer { answer, .. }) => return Ok(answer),
+                Ok(Reply::Elsewhere { view }) => {
                     self.learn(view);
                     if self.head() == to {
                         self.look().await;
                     }
                     Code::ChainDown.because("the chain is being mended")
                 }
-                Ok(Rep::Declined { why }) if why.is(Code::BlueprintInvalid) => return Err(why),
-                Ok(Rep::Declined { why }) => why,
+                Ok(Reply::Declined { why }) if why.is(Code::BlueprintInvalid) => return Err(why),
+                Ok(Reply::Declined { why }) => why,
                 Ok(_) => Code::ChainDown.because("an answer that is none"),
                 Err(b) => {
                     self.look().await;
@@ -120,7 +122,7 @@
         }
     }
     pub async fn learn_from(&self, addr: &str) {
-        if let Ok(Rep::Status { status }) = self.ask(addr, Ask::Status, LOOK).await {
+        if let Ok(Reply::Status { status }) = self.ask(addr, Request::Status, LOOK).await {
             self.learn(status.view);
         }
     }
@@ -134,7 +136,7 @@
         all.dedup();
         let asks = all.into_iter().map(|k| async move {
             self.learn_from(&k).await;
-            self.view().edition > had.edition
+            self.view().version > had.version
         });
         rt::until_one(asks).await;
     }
@@ -147,26 +149,26 @@
     }
 
     /// The operator's document in force, from the tail alone: an older one is never given.
-    pub async fn adopted(&self, within: Duration) -> Result<Option<Adopted>, Breakdown> {
-        match self.at_tail(Ask::Adopted, within).await? {
-            Rep::Adopted { adopted } => Ok(adopted),
+    pub async fn adopted(&self, within: Duration) -> Result<Option<Adopted>, Error> {
+        match self.at_tail(Request::Adopted, within).await? {
+            Reply::Adopted { adopted } => Ok(adopted),
             _ => Err(Code::ChainDown.because("an answer that is none")),
         }
     }
     /// All that the chain holds, from the tail alone.
-    pub async fn read(&self, within: Duration) -> Result<Store, Breakdown> {
-        match self.at_tail(Ask::Read, within).await? {
-            Rep::Whole { store } => Ok(*store),
+    pub async fn read(&self, within: Duration) -> Result<Store, Error> {
+        match self.at_tail(Request::Read, within).await? {
+            Reply::Store { store } => Ok(*store),
             _ => Err(Code::ChainDown.because("an answer that is none")),
         }
     }
-    async fn at_tail(&self, ask: Ask, within: Duration) -> Result<Rep, Breakdown> {
+    async fn at_tail(&self, ask: Request, within: Duration) -> Result<Reply, Error> {
         let until = now() + within.as_millis() as u64;
         loop {
             let left = Duration::from_millis(until.saturating_sub(now()).clamp(1, 400));
             let to = self.tail();
             match self.ask(&to, ask.clone(), left).await {
-                Ok(Rep::Elsewhere { view }) => self.learn(view),
+                Ok(Reply::Elsewhere { view }) => self.learn(view),
                 Ok(rep) => return Ok(rep),
                 Err(_) => {}
             }
@@ -187,9 +189,9 @@
             }
         }
         let asks = self.view().machines.into_iter().map(|m| async move {
-            let r = self.ask(&m.addr, Ask::Status, Duration::from_millis(700)).await;
+            let r = self.ask(&m.addr, Request::Status, Duration::from_millis(700)).await;
             let st = r.ok().and_then(|r| match r {
-                Rep::Status { status } => Some(status),
+                Reply::Status { status } => Some(status),
                 _ => None,
             });
             (m.name, m.addr, st)
--- a/crates/qhd/src/copies.rs
+++ b/crates/qhd/src/copies.rs
@@ -1,7 +1,7 @@
 //! Sessions' copies over the mesh: placed before they are promised, mended by digests (§6.4).
 use crate::Fleet;
 use crate::meshd::Net;
-use qh_core::{Breakdown, Code, Edition, Name, now};
+use qh_core::{Code, Error, Name, Version, now};
 use qh_data::node::{Copies, Fut};
 use qh_data::session::Context;
 use qh_mesh::duty::owners;
@@ -44,7 +44,7 @@
         let got = f.mesh.ask_all(to, NodeAsk::Store { ctx: c.clone() }).await;
         if n == 3 && got.iter().all(|(_, r)| matches!(r, Some(NodeRep::Done))) {
             let mut t = f.mesh.table.lock().unwrap();
-            if t.get(&c.id).is_some_and(|h| h.edition == c.edition) {
+            if t.get(&c.id).is_some_and(|h| h.version == c.version) {
                 t.drop_one(&c.id);
             }
         }
@@ -54,7 +54,7 @@
 pub struct MeshCopies(pub Arc<Net>);
 
 impl Copies for MeshCopies {
-    fn store(&self, c: Context) -> Fut<'_, Result<(), Breakdown>> {
+    fn store(&self, c: Context) -> Fut<'_, Result<(), Error>> {
         Box::pin(async move {
             let to = owners(&c.id, &self.0.live());
             let n = to.len();
@@ -68,7 +68,7 @@
             }
         })
     }
-    fn find<'a>(&'a self, id: &'a str, knows: Edition) -> Fut<'a, Result<Option<Context>, Breakdown>> {
+    fn find<'a>(&'a self, id: &'a str, knows: Version) -> Fut<'a, Result<Option<Context>, Error>> {
         Box::pin(async move {
             let live = self.0.live();
             let to = owners(id, &live);
@@ -83,7 +83,7 @@
                     })
                     .collect();
                 let any = !copies.is_empty();
-                (answered, any, copies.into_iter().filter(|c| c.knows(knows)).max_by_key(|c| c.edition))
+                (answered, any, copies.into_iter().filter(|c| c.knows(knows)).max_by_key(|c| c.version))
             };
             let n = to.len();
             let (answered, _, best) = newest(self.0.ask_all(to, ask.clone()).await);
--- a/crates/qhd/src/desk.rs
+++ b/crates/qhd/src/desk.rs
@@ -1,13 +1,13 @@
 //! What comes to the doors: origins' visits, the platform's question, beats, operators (§4.1, §8).
 use crate::{Fleet, meshd, ops};
-use qh_core::{Beat, Breakdown, Code};
+use qh_core::{Beat, Code, Error};
 use qh_data::Node;
 use qh_data::door::Knock;
 use qh_data::visit::breakdown_json;
 use serde_json::{Value, json};
 use std::sync::Arc;
 
-fn said(r: Result<Value, Breakdown>) -> (u16, Value) {
+fn said(r: Result<Value, Error>) -> (u16, Value) {
     r.map_or_else(|b| (b.http(), breakdown_json(&b)), |v| (200, v))
 }
 
@@ -37,7 +37,7 @@
     if k.token.as_deref() != Some(f.node.set.token.as_str()) {
         return said(Err(Code::Unauthorized.bare()));
     }
-    let body: Result<Value, Breakdown> = if k.body.is_empty() {
+    let body: Result<Value, Error> = if k.body.is_empty() {
         Ok(json!({}))
     } else {
         serde_json::from_slice(&k.body).map_err(|e| Code::Malformed.because(e))
@@ -48,7 +48,7 @@
     }
 }
 
-fn check_beat(b: &Beat) -> Result<(), Breakdown> {
+fn check_beat(b: &Beat) -> Result<(), Error> {
     let named = !b.server.is_empty() && b.server.len() <= 64 && b.labels.len() <= 32;
     let placed = b.addr.parse::<std::net::SocketAddr>().is_ok();
     if named && placed {
--- a/crates/qhd/src/feed.rs
+++ b/crates/qhd/src/feed.rs
@@ -2,10 +2,10 @@
 use crate::Fleet;
 use qh_core::blueprint::Blueprint;
 use qh_core::rt;
-use qh_core::{Beat, ChangeNo, Name, Standing, State, now};
+use qh_core::{Beat, ChangeNo, Name, ServerRecord, State, now};
 use qh_data::board::Plan;
 use qh_state::terms::safe;
-use qh_state::{Answer, Ask, Cmd, Known, Rep};
+use qh_state::{Answer, Command, FeedState, Reply, Request};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -31,33 +31,33 @@
         }
         let (have, applied) = {
             let s = f.known.lock().unwrap();
-            (s.n, s.edition)
+            (s.n, s.version)
         };
         // The lease is counted from before the question left.
         let asked = now();
-        let ask = Ask::Feed { node: name.into(), addr: addr.into(), have, applied, enrolled };
+        let ask = Request::Feed { node: name.into(), addr: addr.into(), have, applied, enrolled };
         let news = match f.chain.ask(&to, ask, WITHIN).await {
-            Ok(Rep::Changes { changes, lease_ms }) => {
+            Ok(Reply::Changes { changes, lease_ms }) => {
                 let mut k = f.known.lock().unwrap();
                 let whole = changes.iter().all(|c| k.apply(c));
                 // A gap is no ground to act on; the next poll starts from what was applied.
                 whole.then_some(lease_ms)
             }
-            Ok(Rep::Told { told, lease_ms }) => {
+            Ok(Reply::Snapshot { snapshot, lease_ms }) => {
                 let mut k = f.known.lock().unwrap();
                 // Never back: what is older than what was applied is not taken (§1 N10).
-                let newer = Some(*told).filter(|t| t.n >= k.n).and_then(Known::of);
+                let newer = Some(*snapshot).filter(|t| t.n >= k.n).and_then(FeedState::of);
                 newer.map(|t| {
                     *k = t;
                     lease_ms
                 })
             }
-            Ok(Rep::Elsewhere { view }) => {
+            Ok(Reply::Elsewhere { view }) => {
                 f.chain.learn(view);
                 to = f.chain.tail_after(&to).await;
                 None
             }
-            Ok(Rep::Enroll) => {
+            Ok(Reply::Enroll) => {
                 enrolled = 0;
                 None
             }
@@ -94,7 +94,7 @@
 async fn enroll(f: &Fleet, tried: u64) -> ChangeNo {
     let (node, life) = (Name::from(f.node.set.name.as_str()), rt::wall_ms());
     let key = format!("enroll/{node}/{life:x}/{tried}");
-    match f.chain.write(&key, Cmd::Enroll { node, life }, ENROLL).await {
+    match f.chain.write(&key, Command::Enroll { node, life }, ENROLL).await {
         Ok(Answer::Enrolled(n)) => n,
         _ => {
             rt::sleep(Duration::from_millis(50)).await;
@@ -111,41 +111,41 @@
     if enrolled > 0 {
         let node = Name::from(f.node.set.name.as_str());
         let key = format!("dismiss/{node}/{enrolled}");
-        let _ = f.chain.write(&key, Cmd::Dismiss { node, enrolled }, BYE).await;
+        let _ = f.chain.write(&key, Command::Dismiss { node, enrolled }, BYE).await;
     }
 }
 
 /// Puts what was applied on the blackboard.
-fn publish(f: &Fleet, stood: &mut BTreeMap<Name, Standing>) {
+fn publish(f: &Fleet, stood: &mut BTreeMap<Name, ServerRecord>) {
     if f.ports.is_some() {
         stand(f, stood);
     }
     let p = plan_of(&f.known.lock().unwrap(), &f.node.board.plan());
-    let (n, edition) = (p.n, p.edition);
+    let (n, version) = (p.n, p.version);
     if f.node.board.set_plan(p) {
-        log::debug!(target: "feed", "change {n} is applied, edition {edition} is in force");
+        log::debug!(target: "feed", "change {n} is applied, version {version} is in force");
     }
 }
 
 /// What is known as a plan; while the blueprint stays, so does what was read of it.
-pub fn plan_of(k: &Known, had: &Plan) -> Plan {
-    let (n, edition, leads) = (k.n, k.edition, k.leads.clone());
-    if had.edition == edition {
-        return Plan { n, edition, leads, ..had.clone() };
+pub fn plan_of(k: &FeedState, had: &Plan) -> Plan {
+    let (n, version, leads) = (k.n, k.version, k.leads.clone());
+    if had.version == version {
+        return Plan { n, version, leads, ..had.clone() };
     }
     let blueprint = Blueprint::held(&k.text)
-        .map_err(|b| log::error!(target: "feed", "edition {edition} cannot be read: {b}"))
+        .map_err(|b| log::error!(target: "feed", "version {version} cannot be read: {b}"))
         .ok();
     let dbs = blueprint.iter().flat_map(|b| b.rules.iter().enumerate());
     let named = dbs.flat_map(|(i, r)| r.when.get("db").into_iter().flatten().map(move |db| (db, i)));
     let by_db: HashMap<Name, usize> = named.map(|(db, i)| (db.as_str().into(), i)).collect();
-    log::info!(target: "feed", "edition {edition} is in force from change {n} on");
-    Plan { n, edition, blueprint: blueprint.map(Arc::new), leads, by_db: Arc::new(by_db) }
+    log::info!(target: "feed", "version {version} is in force from change {n} on");
+    Plan { n, version, blueprint: blueprint.map(Arc::new), leads, by_db: Arc::new(by_db) }
 }
 
 /// Servers that the chain knows come on the blackboard as if they had beaten here (§3.5); `stood` is what was put there
 /// before.
-fn stand(f: &Fleet, stood: &mut BTreeMap<Name, Standing>) {
+fn stand(f: &Fleet, stood: &mut BTreeMap<Name, ServerRecord>) {
     let servers = f.known.lock().unwrap().servers.clone();
     for s in servers.values().filter(|s| stood.get(&s.server) != Some(*s)) {
         let label = |k: &str, v: &str| (Name::from(k), Name::from(v));
--- a/crates/qhd/src/groupd.rs
+++ b/crates/qhd/src/groupd.rs
@@ -7,7 +7,7 @@
 use qh_data::platform::{self, Promoted};
 use qh_mesh::{NodeAsk, NodeRep};
 use qh_state::store::duty_of;
-use qh_state::{Answer, Cmd};
+use qh_state::{Answer, Command};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -85,8 +85,8 @@
         Out::TakeFence { key } => {
             let (duty, by) = (duty_of(&plan.group), plan.by.clone());
             let cmd = match f.ports {
-                None => Cmd::NextFence { duty, by, seen },
-                Some(_) => Cmd::TakeFence { duty, by },
+                None => Command::NextFence { duty, by, seen },
+                Some(_) => Command::TakeFence { duty, by },
             };
             match f.chain.write(&key, cmd, WRITE).await {
                 Ok(Answer::Fence(x)) if as_planned(f, &plan.group, plan.lead.as_ref(), x).await => {
@@ -99,7 +99,7 @@
         }
         Out::SetLead { key, lead } => {
             let (named, list) = (lead.server.is_some(), !lead.counts.is_empty());
-            let cmd = Cmd::SetLead { group: plan.group.clone(), lead };
+            let cmd = Command::SetLead { group: plan.group.clone(), lead };
             match f.chain.write(&key, cmd, WRITE).await {
                 Ok(Answer::Lead(_)) if named => In::Named,
                 Ok(Answer::Lead(_)) if list => In::Listed,
--- a/crates/qhd/src/handing.rs
+++ b/crates/qhd/src/handing.rs
@@ -7,7 +7,7 @@
 use qh_core::{Fence, Lead, Ms, Name, Position, Role, now, rt};
 use qh_data::port::{Call, Promoted};
 use qh_state::store::duty_of;
-use qh_state::{Answer, Cmd};
+use qh_state::{Answer, Command};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -80,7 +80,7 @@
 }
 
 async fn take_fence(f: &Fleet, plan: &Plan) -> Option<Fence> {
-    let cmd = Cmd::TakeFence { duty: duty_of(&plan.group), by: plan.by.clone() };
+    let cmd = Command::TakeFence { duty: duty_of(&plan.group), by: plan.by.clone() };
     match f.chain.write(&format!("{}/fence", plan.attempt), cmd, WRITE).await {
         Ok(Answer::Fence(x)) => Some(x),
         _ => None,
@@ -88,7 +88,7 @@
 }
 
 async fn set(f: &Fleet, plan: &Plan, what: &str, lead: Lead) -> bool {
-    let cmd = Cmd::SetLead { group: plan.group.clone(), lead };
+    let cmd = Command::SetLead { group: plan.group.clone(), lead };
     f.chain.write(&format!("{}/{what}", plan.attempt), cmd, WRITE).await.is_ok()
 }
 
--- a/crates/qhd/src/lib.rs
+++ b/crates/qhd/src/lib.rs
@@ -29,7 +29,7 @@
     pub node: Arc<Node>,
     pub mesh: Arc<meshd::Net>,
     pub chain: chainc::Chain,
-    pub known: std::sync::Mutex<qh_state::Known>,
+    pub known: std::sync::Mutex<qh_state::FeedState>,
     pub duty: dutyd::Asked,
     /// The entry that enrolled this process (§5.6), and whether it has left in order.
     pub enrolled: std::sync::atomic::AtomicU64,
--- a/crates/qhd/src/listd.rs
+++ b/crates/qhd/src/listd.rs
@@ -26,7 +26,7 @@
     });
     if shows {
         let (f, g, key) = (f.clone(), g.clone(), format!("{}/lists/{}", duty_of(g), lead.fence));
-        let cmd = qh_state::Cmd::Settle { group: g, fence: lead.fence };
+        let cmd = qh_state::Command::Settle { group: g, fence: lead.fence };
         rt::spawn(async move { drop(f.chain.write(&key, cmd, Duration::from_secs(3)).await) });
     }
 }
--- a/crates/qhd/src/main.rs
+++ b/crates/qhd/src/main.rs
@@ -2,7 +2,7 @@
 mod args;
 
 use qh_core::settings::NodeSettings;
-use qh_core::{Breakdown, Code, now};
+use qh_core::{Code, Error, now};
 use qhd::{Fleet, desk, meshd, open_txns};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -30,7 +30,7 @@
     std::process::exit(0);
 }
 
-async fn run(set: NodeSettings, rt: &tokio::runtime::Handle) -> Result<(), Breakdown> {
+async fn run(set: NodeSettings, rt: &tokio::runtime::Handle) -> Result<(), Error> {
     let handle = qh_core::logs::start(&set.log).map_err(|e| Code::BadSettings.because(e))?;
     let in_use = |e| Code::PortInUse.because(format_args!("{}: {e}", set.mesh));
     let lst = tokio::net::TcpListener::bind(&set.mesh).await.map_err(in_use)?;
--- a/crates/qhd/src/meshd.rs
+++ b/crates/qhd/src/meshd.rs
@@ -3,7 +3,7 @@
 use qh_core::rt;
 use qh_core::settings::NodeSettings;
 use qh_core::wire::{Caller, answer};
-use qh_core::{Breakdown, Code, Name, now};
+use qh_core::{Code, Error, Name, now};
 use qh_mesh::copies::Table;
 use qh_mesh::member::Out;
 use qh_mesh::{Letter, Life, Mesh, NodeAsk, NodeKnock, NodeKnocked, NodeRep, Rumor};
@@ -39,7 +39,7 @@
     pub fn live(&self) -> Vec<(Name, Name)> {
         self.mesh.lock().unwrap().live()
     }
-    pub async fn ask(&self, node: &str, ask: NodeAsk) -> Result<NodeRep, Breakdown> {
+    pub async fn ask(&self, node: &str, ask: NodeAsk) -> Result<NodeRep, Error> {
         let addr = self.mesh.lock().unwrap().addr(node);
         let addr = addr.ok_or_else(|| Code::Unreachable.because(format_args!("node {node} is not known")))?;
         match self.caller.call::<_, NodeKnocked>(&addr, &NodeKnock::Ask { ask }, ASK).await? {
--- a/crates/qhd/src/minding.rs
+++ b/crates/qhd/src/minding.rs
@@ -8,7 +8,7 @@
 use qh_core::{Lead, Ms, Name, Role, State, now, rt};
 use qh_data::board::ServerRow;
 use qh_state::store::duty_of;
-use qh_state::{Answer, Cmd};
+use qh_state::{Answer, Command};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -180,7 +180,7 @@
     let others = rows.iter().map(|r| r.name.clone()).filter(|n| *n != server).collect::<Vec<_>>();
     st.minded.settling = Some(rt::spawn(async move {
         if settled::settle(&f, &g, fence, &server, &others).await.is_some() && lists {
-            let (key, cmd) = (format!("{}/lists/{fence}", duty_of(&g)), Cmd::Settle { group: g, fence });
+            let (key, cmd) = (format!("{}/lists/{fence}", duty_of(&g)), Command::Settle { group: g, fence });
             let _ = f.chain.write(&key, cmd, WRITE).await;
         }
     }));
@@ -210,12 +210,13 @@
 async fn adopt(f: Arc<Fleet>, g: Name, server: Name, counts: Vec<Name>) {
     let by = f.mesh.me.clone();
     let key = format!("{}/{by}/first/{:x}", duty_of(&g), fastrand::u64(..));
-    let take = Cmd::TakeFence { duty: duty_of(&g), by: by.clone() };
+    let take = Command::TakeFence { duty: duty_of(&g), by: by.clone() };
     let Ok(Answer::Fence(fence)) = f.chain.write(&key, take, WRITE).await else { return };
     if !groupd::as_planned(&f, &g, None, fence).await {
         return;
     }
     let lead = Lead { fence, server: Some(server.clone()), by, counts, ..Default::default() };
-    let named = f.chain.write(&format!("{key}/name"), Cmd::SetLead { group: g.clone(), lead }, WRITE).await;
+    let named =
+        f.chain.write(&format!("{key}/name"), Command::SetLead { group: g.clone(), lead }, WRITE).await;
     f.duty.tell(format!("server {server} leads {g} and is named under fence {fence}: {}", named.is_ok()));
 }
--- a/crates/qhd/src/ops.rs
+++ b/crates/qhd/src/ops.rs
@@ -2,9 +2,9 @@
 use crate::{Fleet, report};
 use qh_core::blueprint::Blueprint;
 use qh_core::rt;
-use qh_core::{Breakdown, Code, Name};
+use qh_core::{Code, Error, Name};
 use qh_mesh::{NodeAsk, NodeRep};
-use qh_state::{Answer, Ask, Cmd, Known, Machine, Rep};
+use qh_state::{Answer, Command, FeedState, Machine, Reply, Request};
 use serde_json::{Value, json};
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,7 +12,7 @@
 const PUSH: Duration = Duration::from_secs(12);
 const READ: Duration = Duration::from_secs(2);
 
-pub async fn answer(f: &Arc<Fleet>, what: &str, b: &Value) -> Result<Value, Breakdown> {
+pub async fn answer(f: &Arc<Fleet>, what: &str, b: &Value) -> Result<Value, Error> {
     let txt = |k: &str| b.get(k).and_then(Value::as_str).unwrap_or_default().to_owned();
     match what {
         "status" => Ok(status(f).await),
@@ -83,7 +83,7 @@
             st.map_or_else(
                 || json!({"name": name, "addr": addr, "silent": true}),
                 |s| {
-                    json!({"name": name, "addr": addr, "why": s.why, "view": s.view.edition, "n": s.n,
+                    json!({"name": name, "addr": addr, "why": s.why, "view": s.view.version, "n": s.n,
                     "committed": s.committed, "in_force": s.in_force, "leases": s.leases.len()})
                 },
             )
@@ -97,11 +97,11 @@
         .map(|(g, l)| json!({"group": g, "server": l.server, "fence": l.fence, "by": l.by}))
         .collect();
     let nodes = fan_out(f, "node", "").await;
-    json!({"edition": plan.edition, "change": plan.n, "view": v, "keepers": keepers, "leads": leads,
+    json!({"version": plan.version, "change": plan.n, "view": v, "keepers": keepers, "leads": leads,
         "nodes": nodes["nodes"]})
 }
 
-fn placements(f: &Fleet) -> Result<Value, Breakdown> {
+fn placements(f: &Fleet) -> Result<Value, Error> {
     let plan = f.node.board.plan();
     let bp = plan.blueprint.clone().ok_or_else(|| Code::NoBlueprint.bare())?;
     let of = |p: &qh_core::blueprint::Placement| -> Vec<Name> {
@@ -123,7 +123,7 @@
     let unknown: Vec<Name> =
         here.into_iter().filter(|d| !bp.districts.is_empty() && bp.district(d).is_none()).collect();
     Ok(
-        json!({"edition": plan.edition, "placements": rows, "districts": bp.districts, "unknown_districts": unknown}),
+        json!({"version": plan.version, "placements": rows, "districts": bp.districts, "unknown_districts": unknown}),
     )
 }
 
@@ -152,13 +152,13 @@
     }
 }
 
-async fn push(f: &Fleet, text: &str, b: &Value) -> Result<Value, Breakdown> {
+async fn push(f: &Fleet, text: &str, b: &Value) -> Result<Value, Error> {
     let bp = match f.node.board.plan().blueprint.clone().filter(|_| rt::broken("taken-invalid")) {
         Some(old) => Blueprint::read(text).unwrap_or_else(|_| old.as_ref().clone()),
         None => Blueprint::read(text)?,
     };
     let json = bp.to_json();
-    let Known { edition, text: old, .. } = f.known.lock().unwrap().clone();
+    let FeedState { version, text: old, .. } = f.known.lock().unwrap().clone();
     let diff = diff(&old, &json);
     let empty: Vec<&str> = bp
         .placements
@@ -167,42 +167,42 @@
         .map(|p| p.name.as_str())
         .collect();
     if b.get("dry_run").and_then(Value::as_bool) == Some(true) {
-        return Ok(json!({"valid": true, "builds_on": edition, "diff": diff, "no_server_yet": empty}));
+        return Ok(json!({"valid": true, "builds_on": version, "diff": diff, "no_server_yet": empty}));
     }
-    let base = b.get("base").and_then(Value::as_u64).unwrap_or(edition);
+    let base = b.get("base").and_then(Value::as_u64).unwrap_or(version);
     let key = b.get("key").and_then(Value::as_str).filter(|k| !k.is_empty() && k.len() <= 128);
     let key = key.ok_or_else(|| Code::Malformed.because("a push needs a key of 1 to 128 bytes"))?;
     let by = b.get("by").and_then(Value::as_str).unwrap_or("operator").into();
-    let cmd = Cmd::Push { base, text: json, by };
+    let cmd = Command::Push { base, text: json, by };
     match f.chain.write(&format!("push/{key}"), cmd, PUSH).await? {
-        Answer::Edition(e) => Ok(json!({"edition": e, "diff": diff, "no_server_yet": empty})),
+        Answer::Version(e) => Ok(json!({"version": e, "diff": diff, "no_server_yet": empty})),
         _ => Err(Code::ChainDown.because("an answer that is none")),
     }
 }
 
-async fn history(f: &Fleet) -> Result<Value, Breakdown> {
+async fn history(f: &Fleet) -> Result<Value, Error> {
     let s = f.chain.read(READ).await?;
     let rows: Vec<Value> = s
         .history
         .iter()
         .map(|k| {
-            json!({"edition": k.edition, "by": k.by, "bytes": k.text.len(),
+            json!({"version": k.version, "by": k.by, "bytes": k.text.len(),
             "blueprint": serde_json::from_str::<Value>(&k.text).unwrap_or(Value::Null)})
         })
         .collect();
     Ok(json!({"history": rows}))
 }
 
-/// A new edition with an old one's content.
-async fn rollback(f: &Fleet, b: &Value) -> Result<Value, Breakdown> {
-    let want = b.get("edition").and_then(Value::as_u64).unwrap_or(0);
+/// A new version with an old one's content.
+async fn rollback(f: &Fleet, b: &Value) -> Result<Value, Error> {
+    let want = b.get("version").and_then(Value::as_u64).unwrap_or(0);
     let had = f.chain.read(READ).await?;
-    let kept = had.kept(want).ok_or_else(|| Code::NoSuchEdition.because(want))?;
+    let kept = had.kept(want).ok_or_else(|| Code::NoSuchVersion.because(want))?;
     push(f, &kept.text, b).await
 }
 
 /// The disk machines; with a change, one comes or goes (§5.3).
-async fn members(f: &Fleet, b: &Value) -> Result<Value, Breakdown> {
+async fn members(f: &Fleet, b: &Value) -> Result<Value, Error> {
     let any = f.chain.any();
     f.chain.learn_from(&any).await;
     let v = f.chain.view();
@@ -221,15 +221,15 @@
     }
     // A machine that does not answer would count towards the majorities and hold the chain up.
     if let Some((n, a)) = add {
-        let st = f.chain.ask(a, Ask::Status, Duration::from_millis(700)).await;
-        if !matches!(&st, Ok(Rep::Status { status }) if status.name == n) {
+        let st = f.chain.ask(a, Request::Status, Duration::from_millis(700)).await;
+        if !matches!(&st, Ok(Reply::Status { status }) if status.name == n) {
             let why = format!("no keeper {n} answers at {a}; start it with --join first");
             return Err(Code::MemberChange.because(why));
         }
     }
     for _ in 0..12 {
-        let ask = Ask::Machines { edition: v.edition, machines: machines.clone() };
-        if let Ok(Rep::Declined { why }) = f.chain.ask(&f.chain.head(), ask, Duration::from_secs(1)).await
+        let ask = Request::Machines { version: v.version, machines: machines.clone() };
+        if let Ok(Reply::Declined { why }) = f.chain.ask(&f.chain.head(), ask, Duration::from_secs(1)).await
             && !why.is(Code::MemberChange)
         {
             return Err(why);
@@ -240,7 +240,7 @@
         if now.machines == machines {
             return Ok(json!({"view": now}));
         }
-        if now.edition != v.edition {
+        if now.version != v.version {
             return Err(Code::MemberChange.because("the view changed meanwhile; ask again"));
         }
     }
--- a/crates/qhd/src/report.rs
+++ b/crates/qhd/src/report.rs
@@ -42,7 +42,7 @@
             let r = v["reduced"].as_array().map_or(0, Vec::len);
             if r > 0 { format!("reduced: {} group(s) without a reachable primary", r) } else { String::new() }
         }),
-        "lease_ms": n.board.lease_left(), "edition": plan.edition, "change": plan.n,
+        "lease_ms": n.board.lease_left(), "version": plan.version, "change": plan.n,
         "sessions": n.sessions.len(), "copies": f.mesh.table.lock().unwrap().len(),
         "in_hand": n.in_hand.load(Ordering::Relaxed),
         "kept": c(&n.counts.kept), "nothing": c(&n.counts.nothing), "unknown": c(&n.counts.unknown),
--- a/crates/qhd/src/rolld.rs
+++ b/crates/qhd/src/rolld.rs
@@ -2,7 +2,7 @@
 //! for a lease that nobody holds.
 use crate::Fleet;
 use qh_core::{Ms, Name, now, rt};
-use qh_state::Cmd;
+use qh_state::Command;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -30,7 +30,7 @@
         for node in gone.collect::<Vec<_>>() {
             let Some(enrolled) = nodes.get(&node).copied() else { continue };
             let key = format!("dismiss/{node}/{enrolled}");
-            let done = f.chain.write(&key, Cmd::Dismiss { node: node.clone(), enrolled }, WRITE).await;
+            let done = f.chain.write(&key, Command::Dismiss { node: node.clone(), enrolled }, WRITE).await;
             log::info!(target: "lease", "node {node} is struck off the roll: {}", done.is_ok());
         }
     }
--- a/crates/qhd/src/settled.rs
+++ b/crates/qhd/src/settled.rs
@@ -5,7 +5,7 @@
 use qh_core::{Fence, Name, Position, rt};
 use qh_data::port::Call;
 use qh_mesh::{NodeAsk, NodeRep};
-use qh_state::{Ask, Rep};
+use qh_state::{Reply, Request};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -34,8 +34,8 @@
     let tail = f.chain.tail();
     let mut whole = true;
     let mut nodes: Vec<Name> = f.mesh.live().into_iter().map(|(n, _)| n).collect();
-    match f.chain.ask(&tail, Ask::Status, WITHIN).await {
-        Ok(Rep::Status { status }) => nodes.extend(status.leases.into_iter().map(|l| l.node)),
+    match f.chain.ask(&tail, Request::Status, WITHIN).await {
+        Ok(Reply::Status { status }) => nodes.extend(status.leases.into_iter().map(|l| l.node)),
         _ => whole = false,
     }
     nodes.sort();
--- a/crates/qhk/src/main.rs
+++ b/crates/qhk/src/main.rs
@@ -1,8 +1,8 @@
 //! qhk: a chain keeper, on a machine with a disk (§5).
 use qh_core::settings::{KeeperSettings, read};
-use qh_core::{Breakdown, Code, now};
+use qh_core::{Code, Error, now};
 use qh_state::disk::Disk;
-use qh_state::{Keeper, Machine, View, drive};
+use qh_state::{Keeper, Machine, View, driver};
 
 const HELP: &str = "qhk: a chain keeper of quincehatch
 
@@ -25,11 +25,11 @@
     check: bool,
 }
 
-fn bad(e: impl std::fmt::Display) -> Breakdown {
+fn bad(e: impl std::fmt::Display) -> Error {
     Code::BadSettings.because(e)
 }
 
-fn args() -> Result<Option<Args>, Breakdown> {
+fn args() -> Result<Option<Args>, Error> {
     use lexopt::prelude::*;
     let mut p = lexopt::Parser::from_env();
     let mut a = Args::default();
@@ -57,7 +57,7 @@
     Ok(Some(a))
 }
 
-fn settings(a: &Args) -> Result<KeeperSettings, Breakdown> {
+fn settings(a: &Args) -> Result<KeeperSettings, Error> {
     let file = a.file.as_ref().ok_or_else(|| bad("--settings is missing"))?;
     let mut s: KeeperSettings = read(file)?;
     if let Some(l) = &a.log {
@@ -72,7 +72,7 @@
         s.machines().into_iter().map(|(n, ad)| Machine { name: n.into(), addr: ad.into() }).collect();
     let members = machines.iter().map(|m| m.name.clone()).collect();
     match (a.init, a.join) {
-        (true, _) => Some(View { edition: 1, members, machines }),
+        (true, _) => Some(View { version: 1, members, machines }),
         (_, true) => Some(View::default()),
         _ => None,
     }
@@ -105,14 +105,14 @@
     }
 }
 
-async fn serve(a: &Args, set: &KeeperSettings) -> Result<(), Breakdown> {
+async fn serve(a: &Args, set: &KeeperSettings) -> Result<(), Error> {
     let _log = qh_core::logs::start(&set.log).map_err(bad)?;
     let (disk, found) = Disk::open(std::path::Path::new(&set.data), &set.name, first(a, set))?;
     let lst = tokio::net::TcpListener::bind(&set.addr)
         .await
         .map_err(|e| Code::PortInUse.because(format_args!("{}: {e}", set.addr)))?;
     log::info!(target: "chain", "keeper {} listens on {}, view {}, change {}", set.name, set.addr,
-        found.view.edition, found.store.n);
+        found.view.version, found.store.n);
     let keeper = Keeper::new(set.name.as_str().into(), now(), found);
     let (tx, rx) = tokio::sync::watch::channel(false);
     tokio::spawn(async move {
@@ -126,5 +126,5 @@
         let _ = tx.send(true);
         std::future::pending::<()>().await;
     });
-    drive::run(keeper, disk, lst, rx).await
+    driver::run(keeper, disk, lst, rx).await
 }
--- a/crates/qhlab/src/simulate_held.rs
+++ b/crates/qhlab/src/simulate_held.rs
@@ -26,7 +26,7 @@
         sum(&|r| r.tries),
         sum(&|r| r.acked),
         sum(&|r| r.reads),
-        sum(&|r| r.editions),
+        sum(&|r| r.versions),
         sum(&|r| r.promotions),
         all.iter().map(|r| r.back_ms).max().unwrap_or(0),
         all.iter().fold(0u64, |a, r| a.rotate_left(7) ^ r.trace)
