Membership: whole before voting, votes move within catch_up, planned leaves

Cause: a machine that is gone kept its vote for 8 s, while the users count it as lost only until its successor had catch_up_s. Change: the silence after which a voter gives way comes from catch_up_s, checked against the other terms at compile time. A spare fetches the store first; its vote and its place in the chain are then one change. A keeper that is told to stop leaves the chain and hands its vote to a spare if one stands ready. A tail that is followed by another tells it that it serves no more, so no term is waited out. The register: every message names the decided view it starts from; an acceptor declines one older than it knows, so what it accepted is never overwritten for an earlier version. Test changed: a_spare_is_taken_in_only_for_one_that_was_silent_for_long asserted the 8 s; it now asserts that nothing happens until 20 ms before the new term, and that the spare is in within catch_up.

--- a/crates/qh-state/src/chain.rs
+++ b/crates/qh-state/src/chain.rs
@@ -1,6 +1,6 @@
 //! Replication along the chain: passing entries down, acknowledging up, catching up (§5.2, §5.3).
 use crate::keeper::{Keeper, Output, Record};
-use crate::messages::{Answer, Command, Entry, PeerMessage, View};
+use crate::messages::{Answer, Command, Entry, LeaseRow, PeerMessage, View};
 use crate::store::Store;
 use crate::terms::{LOG_KEEP, NODE_LEASE, VIEW_LEASE, outlast};
 use qh_core::{ChangeNo, Ms, Name, Version};
@@ -14,8 +14,10 @@
         let was_tail = self.is_tail();
         let prev = self.view.neighbour(&self.me, -1).cloned();
         let next = v.version == self.view.version + 1;
-        self.view = v;
+        let previous = std::mem::replace(&mut self.view, v);
+        self.previous_view = Some(previous).filter(|_| next);
         self.view_since = self.now;
+        (self.held_at_view, self.acked) = (self.store.n, 0);
         self.out.push(Output::Persist(Record::View { view: self.view.clone() }));
         self.sent.clear();
         self.grants.clear();
@@ -29,8 +31,11 @@
         } else if !self.is_tail() {
             // Whoever served as the tail of the view just before knows of every lease there is.
             let whole = next && self.served + 1 == self.view.version;
-            self.granted =
-                self.leases.take().filter(|_| whole && self.view.tail() == self.view.neighbour(&self.me, 1));
+            let tells_tail = !self.view.has(&self.me) || self.view.tail() == self.view.neighbour(&self.me, 1);
+            self.granted = self.leases.take().filter(|_| whole && tells_tail);
+        }
+        if !self.view.has(&self.me) {
+            self.hand_over_leases();
         }
         if let Some(p) = self.view.neighbour(&self.me, -1).cloned() {
             let need = PeerMessage::Need { version: self.view.version, n: self.store.n };
@@ -38,6 +43,33 @@
         }
     }
 
+    /// Tells the tail which leases this keeper granted when it was the tail of the view before. It grants and serves
+    /// no more.
+    pub(crate) fn hand_over_leases(&mut self) {
+        let (Some(granted), Some(tail)) = (&self.granted, self.view.tail().cloned()) else { return };
+        let version = self.view.version;
+        let (rows, unknown_leases) = (granted.rows(self.now), granted.unknown_leases(self.now));
+        self.send(&tail, PeerMessage::Leases { version, rows, unknown_leases });
+    }
+
+    /// What the tail before granted, from itself. That it stands in this view means that it serves no more, and it had
+    /// outlasted every tail before it: there is nothing left to wait for.
+    pub(crate) fn take_over_leases(&mut self, from: &Name, version: Version, rows: &[LeaseRow], unknown: Ms) {
+        // Once it has served in this view it has granted leases itself, perhaps in an earlier life.
+        if version != self.view.version || self.served == version || !self.is_tail() {
+            return;
+        }
+        let was_tail = self.previous_view.as_ref().is_some_and(|v| v.tail() == Some(from));
+        if !was_tail && self.view.neighbour(&self.me, -1) != Some(from) {
+            return;
+        }
+        let now = self.now;
+        self.leases().handed(now, rows, unknown);
+        if was_tail {
+            self.wait_until = now;
+        }
+    }
+
     pub(crate) fn ack(&self) -> PeerMessage {
         PeerMessage::Ack { version: self.view.version, committed: self.committed, in_force: self.in_force }
     }
@@ -109,10 +141,7 @@
             None => self.snapshot_message(false),
         };
         self.send(from, m);
-        if let Some(g) = &self.granted {
-            let (rows, unknown_leases) = (g.rows(self.now), g.unknown_leases(self.now));
-            self.send(from, PeerMessage::Leases { version: ed, rows, unknown_leases });
-        }
+        self.hand_over_leases();
     }
 
     pub(crate) fn acked(&mut self, from: &Name, ed: Version, committed: ChangeNo, in_force: ChangeNo) {
@@ -122,6 +151,7 @@
         let moved = committed > self.committed || in_force > self.in_force;
         self.committed = self.committed.max(committed);
         self.in_force = self.in_force.max(in_force);
+        self.acked = self.acked.max(committed);
         if moved && let Some(p) = self.view.neighbour(&self.me, -1).cloned() {
             let m = self.ack();
             self.send(&p, m);
@@ -159,18 +189,19 @@
         if !takes || (!join && store.n <= self.store.n) {
             return false;
         }
+        let entering = if join { self.view_to_enter() } else { None };
+        if join && entering.is_none() {
+            return false;
+        }
         self.store = store;
         self.log.clear();
         self.news.clear();
         self.committed = 0;
         self.in_force = 0;
         self.out.push(Output::Persist(Record::Snapshot { store: Box::new(self.store.clone()) }));
-        if join {
-            let mut want = self.view.clone();
-            want.version += 1;
-            want.members.push(self.me.clone());
+        if let Some(view) = entering {
             self.set_catching_up(true);
-            self.propose(want);
+            self.propose(view);
         } else {
             self.joined = true;
             self.set_catching_up(false);
--- a/crates/qh-state/src/driver.rs
+++ b/crates/qh-state/src/driver.rs
@@ -3,7 +3,7 @@
 use crate::keeper::{Input, Keeper, Output, Record};
 use crate::messages::{KeeperRequest, KeeperResponse, PeerMessage, Reply};
 use qh_core::wire::{Caller, answer};
-use qh_core::{Code, Error, Name, now};
+use qh_core::{Code, Error, Ms, Name, now};
 use std::collections::HashMap;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -14,6 +14,8 @@
 /// Messages that may wait for one peer; the oldest is dropped first, the protocol sends again.
 const PEER_HOLD: usize = 256;
 const LINKS: usize = 512;
+/// A keeper that has left the chain stays so long, for its last messages to go out.
+const FAREWELL: Ms = 100;
 /// Steps that share one sync.
 const TOGETHER: usize = 64;
 
@@ -43,7 +45,7 @@
 /// What a keeper is told by the process it runs in.
 pub type Inputs = mpsc::Receiver<Input>;
 
-/// Serves until `stop` fires or the disk breaks.
+/// Serves until it has left the chain, `stop` fires or the disk breaks.
 pub async fn run(
     k: Keeper,
     disk: Disk,
@@ -91,6 +93,8 @@
     let mut peers = Peers { me: k.me.clone(), to: HashMap::new() };
     let mut waits: HashMap<u64, oneshot::Sender<Reply>> = HashMap::new();
     let mut token = 0;
+    // When a leave was over.
+    let mut left = None;
     let mut tick = tokio::time::interval(Duration::from_millis(20));
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -138,6 +142,9 @@
                 Output::Say(s) => log::info!(target: "chain", "{s}"),
             }
         }
+        if k.has_left() && now() >= *left.get_or_insert_with(now) + FAREWELL {
+            break;
+        }
     }
     accept.abort();
     Ok(())
--- a/crates/qh-state/src/keeper.rs
+++ b/crates/qh-state/src/keeper.rs
@@ -2,6 +2,7 @@
 use crate::discovery::Discovery;
 use crate::feed::Change;
 use crate::lease::Leases;
+use crate::membership::Leaving;
 use crate::messages::{Entry, PeerMessage, View};
 use crate::patch::Packed;
 use crate::register::{Acceptor, Proposer, ProposerAction};
@@ -9,7 +10,7 @@
 pub use crate::step::{Input, Output, Record, RecoveredState};
 use crate::store::Store;
 use crate::terms::{NODE_LEASE, VIEW_LEASE, outlast};
-use qh_core::{ChangeNo, Ms, Name, Version, rt};
+use qh_core::{ChangeNo, Ms, Name, Version, hash64, rt};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 #[derive(Clone, Debug)]
@@ -51,6 +52,14 @@
     pub(crate) waiters: Vec<PendingWrite>,
     pub(crate) pollers: Vec<PendingPoll>,
     pub(crate) view_since: Ms,
+    /// The view just before this one, where this keeper knew it.
+    pub(crate) previous_view: Option<View>,
+    /// All that was held when the view was taken, and how much the tail has acknowledged in it.
+    pub(crate) held_at_view: ChangeNo,
+    pub(crate) acked: ChangeNo,
+    /// The next view, in which a member offers this keeper a place (§5.9).
+    pub(crate) invitation: Option<View>,
+    pub(crate) leaving: Option<Leaving>,
     pub(crate) proposed: Ms,
     pub(crate) fetched: Ms,
     pub(crate) half_since: Option<Ms>,
@@ -60,8 +69,8 @@
 
 impl Keeper {
     pub fn new(me: Name, now: Ms, f: RecoveredState) -> Self {
-        let rank = f.view.machines.iter().position(|m| m.name == me).unwrap_or(99) as u64;
-        let mut proposer = Proposer::new(rank);
+        // Places in a list that changes are no ranks: no two proposers may ever use one ballot.
+        let mut proposer = Proposer::new(hash64(&[me.as_bytes()]));
         proposer.seen(f.acceptor.promised.n);
         // A tail that had begun to serve in this very view has outlasted the older ones and lacks nothing.
         let served = f.view.tail() == Some(&me) && f.served == f.view.version;
@@ -79,6 +88,7 @@
             proposer,
             acceptor: f.acceptor,
             view: f.view,
+            held_at_view: f.store.n,
             store: f.store,
             log: f.log,
             news: VecDeque::new(),
@@ -98,6 +108,10 @@
             waiters: Vec::new(),
             pollers: Vec::new(),
             view_since: now,
+            previous_view: None,
+            acked: 0,
+            invitation: None,
+            leaving: None,
             proposed: 0,
             fetched: 0,
             half_since: None,
@@ -112,6 +126,7 @@
             Input::Peer { from, m } => self.peer(&from, m),
             Input::Request { token, ask } => self.ask(token, ask),
             Input::Seeds(seeds) => self.seeds(seeds),
+            Input::Leave { within } => self.begin_leave(within),
             Input::Tick => self.tick(),
         }
         self.commit_and_answer();
@@ -144,13 +159,9 @@
     fn peer(&mut self, from: &Name, m: PeerMessage) {
         self.heard.insert(from.clone(), self.now);
         match m {
-            PeerMessage::Prepare { .. } | PeerMessage::Accept { .. } => {
-                if let Some((rep, dirty)) = self.acceptor.step(&m) {
-                    if dirty {
-                        self.out.push(Output::Persist(Record::Acceptor { acceptor: self.acceptor.clone() }));
-                    }
-                    self.send(from, rep);
-                }
+            PeerMessage::Prepare { ref base, .. } | PeerMessage::Accept { ref base, .. } => {
+                self.adopt(base.clone());
+                self.vote(from, &m);
             }
             PeerMessage::Promise { .. } | PeerMessage::Accepted { .. } => {
                 let actions = self.proposer.step(from, &m);
@@ -160,7 +171,7 @@
                 let version = view.version;
                 self.inform_outsider(from, &view);
                 self.adopt(view);
-                if self.acceptor.version() <= version {
+                if self.acceptor.version() <= version && self.view.version <= version {
                     self.send(from, PeerMessage::Grant { version, seq });
                 }
             }
@@ -172,15 +183,7 @@
             }
             PeerMessage::Fetch { version } => self.fetch(from, version),
             PeerMessage::Leases { version, rows, unknown_leases } => {
-                // Once it has served in this view it has granted leases itself, perhaps in an earlier life.
-                if version == self.view.version
-                    && self.served != version
-                    && self.is_tail()
-                    && self.view.neighbour(&self.me, -1) == Some(from)
-                {
-                    let now = self.now;
-                    self.leases().handed(now, &rows, unknown_leases);
-                }
+                self.take_over_leases(from, version, &rows, unknown_leases);
             }
             PeerMessage::Snapshot { version, store, join, dismissed_leases, unknown_leases } => {
                 if self.install_snapshot(from, version, *store, join) {
@@ -191,6 +194,26 @@
             }
             PeerMessage::Discover { at } => self.on_discover(from, at),
             PeerMessage::CurrentView { view } => self.adopt(view),
+            PeerMessage::Invite { base, view } => self.invited(base, view),
+        }
+    }
+
+    /// Answers a proposer whose base is known here by now.
+    fn vote(&mut self, proposer: &Name, message: &PeerMessage) {
+        let Some((answer, changed)) = self.acceptor.step(self.view.version, message) else { return };
+        if changed {
+            self.out.push(Output::Persist(Record::Acceptor { acceptor: self.acceptor.clone() }));
+        }
+        self.send(proposer, answer);
+    }
+
+    /// A proposal of this keeper's is decided: those that vote hear it by heartbeat, those that no longer do are told.
+    fn announce(&mut self, view: View, base: &View) {
+        self.out.push(Output::Say(format!("view {} is agreed: {}", view.version, view.members.join(" "))));
+        self.adopt(view.clone());
+        self.beat();
+        for machine in base.machines.iter().filter(|m| !view.is_voter(&m.name)) {
+            self.send(&machine.name, PeerMessage::CurrentView { view: view.clone() });
         }
     }
 
@@ -198,15 +221,7 @@
         for action in actions {
             match action {
                 ProposerAction::Send(to, m) => self.send(&to, m),
-                ProposerAction::Decided(v) => {
-                    self.out.push(Output::Say(format!(
-                        "view {} is agreed: {}",
-                        v.version,
-                        v.members.join(" ")
-                    )));
-                    self.adopt(v);
-                    self.beat();
-                }
+                ProposerAction::Decided { view, base } => self.announce(view, &base),
             }
         }
     }
@@ -223,6 +238,10 @@
                 self.send(&p, ack);
             }
         }
-        self.repair_view();
+        if self.leaving.is_some() {
+            self.leave();
+        } else {
+            self.repair_view();
+        }
     }
 }
--- a/crates/qh-state/src/lib.rs
+++ b/crates/qh-state/src/lib.rs
@@ -7,6 +7,7 @@
 mod heartbeat;
 pub mod keeper;
 pub mod lease;
+mod membership;
 pub mod messages;
 pub mod patch;
 pub mod register;
--- /dev/null
+++ b/crates/qh-state/src/membership.rs
@@ -0,0 +1,214 @@
+//! Who votes and who is in the chain: replacement of lost voters, invitations, planned leaves (§5.3, §5.9).
+//!
+//! A keeper outside the view holds everything before it votes. A member that wants one in invites it; it fetches the
+//! store from the tail and then proposes the view in which it has the vote and the last place of the chain, one change
+//! for both.
+use crate::discovery::Candidate;
+use crate::keeper::{Keeper, Output};
+use crate::messages::{Machine, PeerMessage, View};
+use crate::terms::{PROPOSE_GAP, SILENT};
+use qh_core::{Ms, Name};
+
+/// How long a leaving keeper tries to hand its vote over before it leaves the chain without.
+const HAND_OVER: Ms = 1_500;
+
+/// A keeper that was told to stop.
+#[derive(Clone, Debug)]
+pub(crate) struct Leaving {
+    since: Ms,
+    /// It ends by then, whatever it has reached.
+    until: Ms,
+}
+
+impl View {
+    /// The next view, in which `newcomer` has the vote of `voter` and is the tail.
+    fn with_vote_moved(&self, voter: &Name, newcomer: Machine) -> View {
+        let mut next = self.next();
+        next.members.retain(|m| m != voter);
+        next.members.push(newcomer.name.clone());
+        next.machines.iter_mut().filter(|m| m.name == *voter).for_each(|m| *m = newcomer.clone());
+        next
+    }
+    /// The next view, with one more voter, which is the tail.
+    fn with_voter(&self, newcomer: Machine) -> View {
+        let mut next = self.next();
+        next.members.push(newcomer.name.clone());
+        next.machines.push(newcomer);
+        next
+    }
+    /// The next view, with the voter `name` as the tail.
+    fn with_member(&self, name: &Name) -> View {
+        let mut next = self.next();
+        next.members.push(name.clone());
+        next
+    }
+    /// The next view, without `name` in the chain; its vote stays.
+    fn without_member(&self, name: &Name) -> View {
+        let mut next = self.next();
+        next.members.retain(|m| m != name);
+        next
+    }
+    fn next(&self) -> View {
+        View { version: self.version + 1, ..self.clone() }
+    }
+}
+
+impl Keeper {
+    /// A member of a repaired chain looks for a voter that is lost, or for one more voter where the view is to have
+    /// more, and invites whoever stands outside.
+    pub(crate) fn recruit(&mut self) {
+        let Some((view, why)) = self.next_voters() else { return };
+        let Some(invited) = view.members.last().cloned() else { return };
+        self.out.push(Output::Say(why));
+        self.invite(&invited, view);
+    }
+
+    fn next_voters(&self) -> Option<(View, String)> {
+        let discovery = self.discovery.as_ref()?;
+        let rank = self.view.members.iter().position(|m| *m == self.me)? as u64;
+        let too_soon = self.now < self.proposed + PROPOSE_GAP * (2 + rank);
+        if too_soon || self.now < discovery.undisturbed_since + SILENT {
+            return None;
+        }
+        let margin = rank * PROPOSE_GAP;
+        if let Some((lost, newcomer)) = self.wiped_voter(margin).or_else(|| self.lost_voter(margin)) {
+            let why = format!("{} is to take the place of {lost}", newcomer.name);
+            return Some((self.view.with_vote_moved(&lost, newcomer), why));
+        }
+        let newcomer = self.further_voter()?;
+        let why = format!("{} is to come to {} machines", newcomer.name, self.view.machines.len());
+        Some((self.view.with_voter(newcomer), why))
+    }
+
+    /// A silent voter at whose address another keeper runs: the disk behind its name is gone.
+    fn wiped_voter(&self, margin: Ms) -> Option<(Name, Machine)> {
+        let candidates = self.candidates();
+        let mut silent = self.view.machines.iter().filter(|m| self.absent(&m.name, SILENT + margin));
+        silent.find_map(|m| {
+            let newcomer = candidates.iter().find(|c| c.addr == m.addr)?;
+            Some((m.name.clone(), newcomer.clone()))
+        })
+    }
+
+    /// A voter that has been silent for long, and anyone who may take its place.
+    fn lost_voter(&self, margin: Ms) -> Option<(Name, Machine)> {
+        let replace_after = self.discovery.as_ref()?.settings.replace_after;
+        let lost = self.view.machines.iter().find(|m| self.absent(&m.name, replace_after + margin))?;
+        Some((lost.name.clone(), self.candidates().into_iter().next()?))
+    }
+
+    /// One more voter where more are wanted: once all machines are in the chain, so that whoever came last holds
+    /// everything before the next one does.
+    fn further_voter(&self) -> Option<Machine> {
+        let wanted = self.discovery.as_ref()?.settings.machines;
+        let machines = &self.view.machines;
+        let complete = machines.iter().all(|m| self.view.has(&m.name));
+        if !complete || machines.len() >= wanted {
+            return None;
+        }
+        self.candidates().into_iter().find(|c| !machines.iter().any(|m| m.addr == c.addr))
+    }
+
+    /// Left out of the chain, and not heard of for so long.
+    fn absent(&self, voter: &Name, at_least: Ms) -> bool {
+        let Some(discovery) = &self.discovery else { return false };
+        let heard = self.heard.get(voter).copied().unwrap_or(0).max(discovery.undisturbed_since);
+        !self.view.has(voter) && self.now.saturating_sub(heard) >= at_least
+    }
+
+    /// Keepers outside the view that asked for a place just now.
+    fn candidates(&self) -> Vec<Machine> {
+        let Some(discovery) = &self.discovery else { return Vec::new() };
+        let may = |(name, c): &(&Name, &Candidate)| c.wants_place(self.now) && !self.view.is_voter(name);
+        let machine = |(name, c): (&Name, &Candidate)| Machine { name: name.clone(), addr: c.addr.clone() };
+        discovery.candidates.iter().filter(may).map(machine).collect()
+    }
+
+    fn invite(&mut self, newcomer: &Name, view: View) {
+        self.proposed = self.now;
+        let base = self.view.clone();
+        self.send(newcomer, PeerMessage::Invite { base, view });
+    }
+
+    /// This keeper may have a place in the next view once it has fetched the store.
+    pub(crate) fn invited(&mut self, base: View, view: View) {
+        self.adopt(base);
+        let follows = view.version == self.view.version + 1;
+        if !follows || self.view.is_voter(&self.me) || !view.is_voter(&self.me) || self.leaving.is_some() {
+            return;
+        }
+        self.invitation = Some(view);
+        if self.now >= self.fetched + PROPOSE_GAP {
+            self.fetch_store();
+        }
+    }
+
+    pub(crate) fn fetch_store(&mut self) {
+        self.fetched = self.now;
+        let Some(tail) = self.view.tail().cloned() else { return };
+        let fetch = PeerMessage::Fetch { version: self.view.version };
+        self.send(&tail, fetch);
+    }
+
+    /// The view to propose with the whole store at hand, if this keeper has a place to go to.
+    pub(crate) fn view_to_enter(&mut self) -> Option<View> {
+        if self.view.is_voter(&self.me) {
+            return Some(self.view.with_member(&self.me));
+        }
+        self.invitation.take().filter(|view| view.version == self.view.version + 1)
+    }
+
+    /// Begins to leave; it is over within `within` at the latest (§5.9).
+    pub(crate) fn begin_leave(&mut self, within: Ms) {
+        if self.leaving.is_none() {
+            self.leaving = Some(Leaving { since: self.now, until: self.now + within });
+            self.out.push(Output::Say("leaving".into()));
+            self.leave();
+        }
+    }
+
+    /// One step of a leave: the vote goes to one that stands outside; without one, or if that takes too long, the
+    /// keeper leaves the chain and keeps its vote.
+    pub(crate) fn leave(&mut self) {
+        let Some(leaving) = &self.leaving else { return };
+        let hands_over = self.now < leaving.since + HAND_OVER;
+        if self.has_left() {
+            return self.hand_over_leases();
+        }
+        let too_soon = self.now < self.proposed + PROPOSE_GAP;
+        if self.finish_half() || too_soon || !self.others_hold_everything() {
+            return;
+        }
+        let me = self.me.clone();
+        match self.candidates().into_iter().next().filter(|_| hands_over) {
+            Some(newcomer) => {
+                let name = newcomer.name.clone();
+                let view = self.view.with_vote_moved(&me, newcomer);
+                self.invite(&name, view);
+            }
+            None => self.propose(self.view.without_member(&me)),
+        }
+    }
+
+    /// True once a leaving keeper may end: it is out of the chain, and its vote is handed over if anyone takes it.
+    pub fn has_left(&self) -> bool {
+        let Some(leaving) = &self.leaving else { return false };
+        if self.now >= leaving.until {
+            return true;
+        }
+        let keeps_vote = self.view.is_voter(&self.me);
+        let may_hand_over = self.now < leaving.since + HAND_OVER && !self.candidates().is_empty();
+        !self.view.has(&self.me) && !(keeps_vote && may_hand_over)
+    }
+
+    /// Whatever is committed is on another member's disk too. A tail's forerunners hold all that it has; so do all
+    /// members but one that is still catching up, and that is only ever the tail.
+    fn others_hold_everything(&self) -> bool {
+        match self.view.members.len() {
+            0 => true,
+            1 => !self.view.has(&self.me),
+            2 if self.is_head() => self.acked >= self.held_at_view,
+            _ => true,
+        }
+    }
+}
--- a/crates/qh-state/src/messages.rs
+++ b/crates/qh-state/src/messages.rs
@@ -52,9 +52,10 @@
     }
 
     pub enum PeerMessage {
-        Prepare { ballot: Ballot },
+        /// Asks for a promise about the view that follows `base`, which is decided (§5.3).
+        Prepare { ballot: Ballot, base: View },
         Promise { ballot: Ballot, ok: bool, seen: Ballot, accepted: Option<(Ballot, View)> },
-        Accept { ballot: Ballot, view: View },
+        Accept { ballot: Ballot, base: View, view: View },
         Accepted { ballot: Ballot, ok: bool, seen: Ballot },
         /// Heartbeat: what I hold, and a wish to have my view's lease renewed.
         Beat { view: View, seq: u64, n: ChangeNo },
@@ -77,7 +78,10 @@
         /// From outside the view: I am reached there, and may take a lost machine's place (§5.9).
         Discover { at: Name },
         /// To one outside: this is the view.
-        CurrentView { view: View }
+        CurrentView { view: View },
+        /// To one outside, from a member: fetch the store, then propose `view`, which follows `base` and in which you
+        /// vote and are the tail (§5.9).
+        Invite { base: View, view: View }
     }
 
     /// What nodes and operators ask of a keeper.
--- a/crates/qh-state/src/register.rs
+++ b/crates/qh-state/src/register.rs
@@ -1,8 +1,13 @@
-//! The view register: one value, compare-and-set, agreed by ballots of all disk machines (§5.3).
-//! A single-decree register that is rewritten in place; there is no log in it.
+//! The view register: one value, compare-and-set, agreed by ballots of the voting machines (§5.3).
+//!
+//! Every version is one instance of single-decree Paxos. Version `e + 1` is decided by the machines of the decided view
+//! `e`, its *base*: a majority of them must promise and accept, and a majority of the new view's machines must accept
+//! as well, so that the new set is alive. Each message names its base. An acceptor learns a newer base from it and
+//! declines an older one, so an instance takes no votes of a machine that knows its outcome, and what an acceptor has
+//! accepted is never overwritten by a proposal for an earlier version.
 use crate::messages::{Ballot, PeerMessage, View};
-use qh_core::{Ms, Name, messages};
-use std::collections::BTreeMap;
+use qh_core::{Ms, Name, Version, messages};
+use std::collections::{BTreeMap, BTreeSet};
 
 messages! {
     /// What an acceptor must never forget; synced before it answers.
@@ -12,23 +17,27 @@
 
 impl Acceptor {
     /// The newest view this acceptor has taken part in; leases of older ones are not renewed.
-    pub fn version(&self) -> u64 {
-        self.accepted.as_ref().map_or(0, |a| a.1.version)
+    pub fn version(&self) -> Version {
+        self.accepted.as_ref().map_or(0, |(_, view)| view.version)
     }
-    /// Answers a proposer; the flag says that the state changed and must be synced first.
-    pub fn step(&mut self, m: &PeerMessage) -> Option<(PeerMessage, bool)> {
-        match m {
-            PeerMessage::Prepare { ballot } => {
+
+    /// Answers a proposer; the flag says that the state changed and must be synced first. `decided` is the version of
+    /// the newest decided view known here, at least as new as the message's base.
+    pub fn step(&mut self, decided: Version, message: &PeerMessage) -> Option<(PeerMessage, bool)> {
+        match message {
+            PeerMessage::Prepare { ballot, base } => {
                 // Asked twice, as under its own name and that of the machine whose place it takes, it says the same.
-                let (ok, new) = (*ballot >= self.promised, *ballot > self.promised);
+                let ok = self.takes(decided, *ballot, base);
+                let changed = ok && *ballot > self.promised;
                 if ok {
                     self.promised = *ballot;
                 }
-                let accepted = self.accepted.clone().filter(|_| ok);
-                Some((PeerMessage::Promise { ballot: *ballot, ok, seen: self.promised, accepted }, new))
+                let next = base.version + 1;
+                let accepted = self.accepted.clone().filter(|(_, view)| ok && view.version == next);
+                Some((PeerMessage::Promise { ballot: *ballot, ok, seen: self.promised, accepted }, changed))
             }
-            PeerMessage::Accept { ballot, view } => {
-                let ok = *ballot >= self.promised;
+            PeerMessage::Accept { ballot, base, view } => {
+                let ok = self.takes(decided, *ballot, base);
                 if ok {
                     self.promised = *ballot;
                     self.accepted = Some((*ballot, view.clone()));
@@ -38,6 +47,11 @@
             _ => None,
         }
     }
+
+    fn takes(&self, decided: Version, ballot: Ballot, base: &View) -> bool {
+        let outdated = base.version < decided;
+        !outdated && ballot >= self.promised
+    }
 }
 
 /// One try at changing the register.
@@ -45,64 +59,82 @@
 struct Attempt {
     ballot: Ballot,
     base: View,
-    want: View,
+    wanted: View,
     began: Ms,
     promises: BTreeMap<Name, Option<(Ballot, View)>>,
-    proposing: Option<View>,
-    accepts: BTreeMap<Name, ()>,
+    proposed: Option<View>,
+    accepted_by: BTreeSet<Name>,
+}
+
+impl Attempt {
+    /// What a majority may have agreed on already is finished first; only an unmoved register is changed.
+    fn choose(&self) -> View {
+        let accepted = self.promises.values().flatten().max_by_key(|(ballot, _)| *ballot);
+        accepted.map_or_else(|| self.wanted.clone(), |(_, view)| view.clone())
+    }
 }
 
 /// What a proposer wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ProposerAction {
     Send(Name, PeerMessage),
-    Decided(View),
+    /// The view is decided; `base` is the one before it.
+    Decided {
+        view: View,
+        base: View,
+    },
 }
 
 #[derive(Clone, Debug, Default)]
 pub struct Proposer {
     rank: u64,
     top: u64,
-    at: Option<Attempt>,
+    attempt: Option<Attempt>,
 }
 
 impl Proposer {
+    /// No two proposers may share a rank: it makes their ballots differ.
     pub fn new(rank: u64) -> Self {
-        Self { rank, top: 0, at: None }
+        Self { rank, top: 0, attempt: None }
     }
+
     /// Ballots up to `n` are used already.
     pub fn seen(&mut self, n: u64) {
         self.top = self.top.max(n);
     }
+
     /// Busy with an attempt younger than `most`.
     pub fn busy(&self, now: Ms, most: Ms) -> bool {
-        self.at.as_ref().is_some_and(|a| now < a.began + most)
+        self.attempt.as_ref().is_some_and(|a| now < a.began + most)
     }
-    /// Begins to change the register from `base` to `want` (whose version is the next).
-    pub fn begin(&mut self, now: Ms, base: &View, want: View) -> Vec<ProposerAction> {
+
+    /// Begins to change the register from the decided view `base` to `wanted`, whose version is the next.
+    pub fn begin(&mut self, now: Ms, base: &View, wanted: View) -> Vec<ProposerAction> {
         self.top += 1;
         let ballot = Ballot { n: self.top, by: self.rank };
-        let to = targets(base, &want);
-        self.at = Some(Attempt {
+        let to = acceptors(base, &wanted);
+        self.attempt = Some(Attempt {
             ballot,
             base: base.clone(),
-            want,
+            wanted,
             began: now,
             promises: BTreeMap::new(),
-            proposing: None,
-            accepts: BTreeMap::new(),
+            proposed: None,
+            accepted_by: BTreeSet::new(),
         });
-        to.into_iter().map(|n| ProposerAction::Send(n, PeerMessage::Prepare { ballot })).collect()
+        let prepare = PeerMessage::Prepare { ballot, base: base.clone() };
+        to.into_iter().map(|name| ProposerAction::Send(name, prepare.clone())).collect()
     }
 
-    pub fn step(&mut self, from: &Name, m: &PeerMessage) -> Vec<ProposerAction> {
-        match m {
+    /// Takes an acceptor's answer.
+    pub fn step(&mut self, from: &Name, message: &PeerMessage) -> Vec<ProposerAction> {
+        match message {
             PeerMessage::Promise { ballot, ok, seen, accepted } => {
-                self.top = self.top.max(seen.n);
+                self.seen(seen.n);
                 self.promise(from, *ballot, *ok, accepted.clone())
             }
             PeerMessage::Accepted { ballot, ok, seen } => {
-                self.top = self.top.max(seen.n);
+                self.seen(seen.n);
                 self.accepted(from, *ballot, *ok)
             }
             _ => Vec::new(),
@@ -112,61 +144,47 @@
     fn promise(
         &mut self,
         from: &Name,
-        b: Ballot,
+        ballot: Ballot,
         ok: bool,
-        acceptor: Option<(Ballot, View)>,
+        accepted: Option<(Ballot, View)>,
     ) -> Vec<ProposerAction> {
-        let Some(a) = self.at.as_mut().filter(|a| a.ballot == b && a.proposing.is_none()) else {
+        let Some(a) = self.attempt.as_mut().filter(|a| a.ballot == ballot && a.proposed.is_none()) else {
             return Vec::new();
         };
         if !ok {
-            self.at = None;
+            self.attempt = None;
             return Vec::new();
         }
-        a.promises.insert(from.clone(), acceptor);
+        a.promises.insert(from.clone(), accepted);
         if !a.base.majority(a.promises.keys()) {
             return Vec::new();
         }
-        // What a majority may have agreed on already is finished first; only an unmoved register is changed.
-        let found = a.promises.values().flatten().max_by_key(|(b, _)| *b).map(|(_, v)| v.clone());
-        let (next, base) = match found {
-            Some(v) if v.version > a.base.version => {
-                // Its machines must have promised too, or another set could have moved on unseen.
-                if !v.majority(a.promises.keys()) {
-                    return Vec::new();
-                }
-                let b = a.base.clone();
-                (v, b)
-            }
-            _ => (a.want.clone(), a.base.clone()),
-        };
-        a.proposing = Some(next.clone());
-        let ballot = a.ballot;
-        targets(&base, &next)
-            .into_iter()
-            .map(|n| ProposerAction::Send(n, PeerMessage::Accept { ballot, view: next.clone() }))
-            .collect()
+        let view = a.choose();
+        a.proposed = Some(view.clone());
+        let to = acceptors(&a.base, &view);
+        let accept = PeerMessage::Accept { ballot, base: a.base.clone(), view };
+        to.into_iter().map(|name| ProposerAction::Send(name, accept.clone())).collect()
     }
 
-    fn accepted(&mut self, from: &Name, b: Ballot, ok: bool) -> Vec<ProposerAction> {
-        let Some(a) = self.at.as_mut().filter(|a| a.ballot == b) else { return Vec::new() };
+    fn accepted(&mut self, from: &Name, ballot: Ballot, ok: bool) -> Vec<ProposerAction> {
+        let Some(a) = self.attempt.as_mut().filter(|a| a.ballot == ballot) else { return Vec::new() };
         if !ok {
-            self.at = None;
+            self.attempt = None;
+            return Vec::new();
+        }
+        a.accepted_by.insert(from.clone());
+        let Some(view) = a.proposed.clone() else { return Vec::new() };
+        if !a.base.majority(a.accepted_by.iter()) || !view.majority(a.accepted_by.iter()) {
             return Vec::new();
         }
-        a.accepts.insert(from.clone(), ());
-        let done =
-            a.proposing.clone().filter(|v| a.base.majority(a.accepts.keys()) && v.majority(a.accepts.keys()));
-        done.map_or_else(Vec::new, |v| {
-            self.at = None;
-            vec![ProposerAction::Decided(v)]
-        })
+        let base = a.base.clone();
+        self.attempt = None;
+        vec![ProposerAction::Decided { view, base }]
     }
 }
 
-fn targets(a: &View, b: &View) -> Vec<Name> {
-    let mut t: Vec<Name> = a.machines.iter().chain(&b.machines).map(|m| m.name.clone()).collect();
-    t.sort();
-    t.dedup();
-    t
+/// Who votes on a change: the machines of both views.
+fn acceptors(base: &View, next: &View) -> Vec<Name> {
+    let names: BTreeSet<Name> = base.machines.iter().chain(&next.machines).map(|m| m.name.clone()).collect();
+    names.into_iter().collect()
 }
--- a/crates/qh-state/src/repair.rs
+++ b/crates/qh-state/src/repair.rs
@@ -1,6 +1,6 @@
 //! Repair of the view: silent members are left out, keepers outside the chain come in (§5.3).
 use crate::keeper::{Keeper, Output};
-use crate::messages::{PeerMessage, View};
+use crate::messages::View;
 use crate::terms::{PROPOSE_GAP, SILENT};
 use qh_core::Name;
 
@@ -19,7 +19,7 @@
 
     /// A newer view that was accepted here but never agreed keeps the lease of the present one from being
     /// renewed; if its proposer does not see it through, whoever holds it does (§5.3).
-    fn finish_half(&mut self) -> bool {
+    pub(crate) fn finish_half(&mut self) -> bool {
         let half =
             self.acceptor.accepted.as_ref().map(|(_, v)| v.clone()).filter(|v| v.version > self.view.version);
         let Some(want) = half else {
@@ -43,13 +43,8 @@
         }
         if !self.view.has(&self.me) {
             let may = self.view.machines.iter().any(|m| m.name == self.me);
-            if may
-                && now >= self.fetched + 2 * PROPOSE_GAP
-                && let Some(t) = self.view.tail().cloned()
-            {
-                self.fetched = now;
-                let m = PeerMessage::Fetch { version: self.view.version };
-                self.send(&t, m);
+            if may && now >= self.fetched + 2 * PROPOSE_GAP {
+                self.fetch_store();
             }
             return;
         }
@@ -58,7 +53,7 @@
         };
         let live: Vec<Name> = self.view.members.iter().filter(|m| !silent(self, m)).cloned().collect();
         if live.len() == self.view.members.len() {
-            return self.replace_voter();
+            return self.recruit();
         }
         let rank = live.iter().position(|m| *m == self.me).unwrap_or(0) as u64;
         if now < self.view_since + SILENT + rank * PROPOSE_GAP
--- a/crates/qh-state/src/requests.rs
+++ b/crates/qh-state/src/requests.rs
@@ -212,7 +212,13 @@
     /// Where a machine is reached: one that a view under way brings in is not in the present one yet.
     pub fn addr(&self, name: &str) -> Option<Name> {
         let half = self.acceptor.accepted.as_ref().and_then(|(_, v)| v.addr(name));
-        self.view.addr(name).or(half).cloned().or_else(|| self.candidate_addr(name))
+        let before = self.previous_view.as_ref().and_then(|v| v.addr(name));
+        self.view
+            .addr(name)
+            .or(half)
+            .cloned()
+            .or_else(|| self.candidate_addr(name))
+            .or_else(|| before.cloned())
     }
 
     pub fn status(&self) -> KeeperStatus {
--- a/crates/qh-state/src/step.rs
+++ b/crates/qh-state/src/step.rs
@@ -2,7 +2,7 @@
 use crate::messages::{Entry, PeerMessage, Reply, Request, View};
 use crate::register::Acceptor;
 use crate::store::Store;
-use qh_core::{Name, Version, messages};
+use qh_core::{Ms, Name, Version, messages};
 use std::collections::VecDeque;
 
 messages! {
@@ -29,6 +29,10 @@
         token: u64,
         ask: Request,
     },
+    /// The process is to stop: leave the chain, and end within so many milliseconds (§5.9).
+    Leave {
+        within: Ms,
+    },
     /// Whom to ask first is another set now (§5.9).
     Seeds(Vec<Name>),
     Tick,
--- a/crates/qh-state/src/terms.rs
+++ b/crates/qh-state/src/terms.rs
@@ -31,6 +31,20 @@
     term - term * DRIFT_PM / 1000 - 1
 }
 
+/// Least silence after which a voter gives its place to one outside: by then the chain without it is repaired and served.
+const REPLACE_LEAST: Ms = SILENT + PROPOSE_GAP + outlast(VIEW_LEASE);
+/// From then on, at most, until the new voter holds everything: it is known (a discovery message), invited by one of the
+/// first two members, fetches the store, proposes.
+const REPLACE_TIME: Ms = 500 + PROPOSE_GAP + 500 + PROPOSE_GAP;
+
+/// The silence after which a voter is lost, where its successor counts as whole `catch_up` after its start (§5.9).
+pub const fn replace_after(catch_up: Ms) -> Ms {
+    if catch_up / 2 > REPLACE_LEAST { catch_up / 2 } else { REPLACE_LEAST }
+}
+
+// A successor that starts as the lost machine falls silent votes well inside the shortest time it is given.
+const _: () = assert!(replace_after(4_000) + REPLACE_TIME < 4_000);
+const _: () = assert!(replace_after(6_000) + REPLACE_TIME < 6_000);
 // Mending (silence, one round, waiting the old tail out) is shorter than a node's lease, so that a lost
 // keeper alone never takes a node out of service (§5.6).
 const _: () = assert!(SILENT + PROPOSE_GAP + outlast(VIEW_LEASE) + FEED < safe(NODE_LEASE));
--- a/crates/qh-state/tests/join.rs
+++ b/crates/qh-state/tests/join.rs
@@ -2,9 +2,9 @@
 mod kit;
 
 use assert_matches::assert_matches;
-use kit::Net;
+use kit::{CATCH_UP, Net};
 use qh_core::{Name, Role, ServerRecord};
-use qh_state::{Adopted, Answer, Command, Reply, Request, View};
+use qh_state::{Adopted, Answer, Command, Reply, Request, View, terms};
 
 const SEEDS: [&str; 3] = ["a:1", "b:1", "c:1"];
 
@@ -90,9 +90,10 @@
     net.run(12_000);
     assert_eq!(net.view("d:1#s").machines, first().machines, "it knows the view, and stays outside");
     net.down = vec!["c:1".into()];
-    net.run(6_000);
+    let silence = terms::replace_after(CATCH_UP);
+    net.run(silence - 20);
     assert!(!net.view("a:1").is_voter("d:1#s"), "too soon");
-    net.run(6_000);
+    net.run(CATCH_UP - silence);
     let v = net.view("a:1").clone();
     assert!(v.has("d:1#s") && !v.is_voter("c:1"), "{v:?}");
     // The one that was silent comes back with its disk: it learns that it is outside, and stays there.
--- a/crates/qh-state/tests/kit/mod.rs
+++ b/crates/qh-state/tests/kit/mod.rs
@@ -2,9 +2,14 @@
 #![allow(dead_code)]
 use qh_core::{ChangeNo, Ms, Name};
 use qh_state::keeper::{Input, Output, Record, RecoveredState};
-use qh_state::{Answer, Command, DiscoverySettings, Keeper, Machine, PeerMessage, Reply, Request, View};
+use qh_state::{
+    Answer, Command, DiscoverySettings, Keeper, Machine, PeerMessage, Reply, Request, View, terms,
+};
 use std::collections::{BTreeMap, VecDeque};
 
+/// A new machine counts as whole so long after its start.
+pub const CATCH_UP: Ms = 4_000;
+
 #[derive(Default)]
 pub struct Net {
     pub now: Ms,
@@ -57,8 +62,8 @@
         let seeds = seeds.iter().map(|s| Name::from(*s)).collect();
         let found =
             self.disks.entry(n.into()).or_insert(RecoveredState { view, ..Default::default() }).clone();
-        let (borne, give_up) = (self.borne.unwrap_or(1), 8_000);
-        let way = DiscoverySettings { at: addr.into(), seeds, give_up, machines: 2 * borne + 1 };
+        let (borne, replace_after) = (self.borne.unwrap_or(1), terms::replace_after(CATCH_UP));
+        let way = DiscoverySettings { at: addr.into(), seeds, replace_after, machines: 2 * borne + 1 };
         let k = Keeper::new(n.into(), self.now, found).seeking(way).committing_on(borne + 1);
         self.put(n, addr, k);
     }
