--- a/crates/qh-state/src/requests.rs
+++ b/crates/qh-state/src/requests.rs
@@ -1,4 +1,5 @@
 //! What nodes and operators ask of a keeper: feed, writes, membership, status (§5.2, §5.6).
+use crate::ack_level::AckLevel;
 use crate::keeper::{Keeper, Output, Record};
 use crate::lease::Leases;
 use crate::messages::{Answer, Command, Entry, KeeperStatus, Machine, Reply, Request, View};
@@ -23,30 +24,6 @@
     pub until: Ms,
 }
 
-/// When a write is answered (§5.6).
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) enum AckLevel {
-    Committed,
-    InForce,
-    /// In force, or committed for [`ADOPT_WAIT`].
-    Soon,
-}
-
-impl AckLevel {
-    /// A close must be in force before another server is named (§5.5), and so is a push told; a new list, which comes
-    /// after it, need only be committed.
-    fn of(cmd: &Command) -> AckLevel {
-        match cmd {
-            Command::Push { .. } => AckLevel::InForce,
-            Command::SetLead { lead, .. } if lead.server.is_none() && lead.counts.is_empty() => {
-                AckLevel::InForce
-            }
-            Command::Adopt { .. } => AckLevel::Soon,
-            _ => AckLevel::Committed,
-        }
-    }
-}
-
 /// A node whose poll waits at the tail for news.
 #[derive(Clone, Debug)]
 pub(crate) struct PendingPoll {
