--- a/crates/qh-data/src/door.rs
+++ b/crates/qh-data/src/door.rs
@@ -7,10 +7,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 use xitca_web::body::ResponseBody;
-use xitca_web::error::Error as WebError;
+use xitca_web::error::{BodyOverFlow, Error as WebError};
 use xitca_web::handler::body::Limit;
 use xitca_web::handler::handler_service;
-use xitca_web::http::{HeaderValue, StatusCode, WebResponse, header};
+use xitca_web::http::{HeaderMap, HeaderValue, StatusCode, WebResponse, header};
 use xitca_web::{App, WebContext, bytes::Bytes};
 
 /// Longest body taken.
@@ -49,6 +49,23 @@
     rt: tokio::runtime::Handle,
 }
 
+/// The whole body. One that is too long is refused; one that broke off on its way may be sent again.
+fn whole_body<const MAX: usize>(
+    headers: &HeaderMap,
+    body: Result<(Bytes, Limit<MAX>), WebError>,
+) -> Result<Bytes, Error> {
+    let broke_off = || Code::NotReady.because("the body did not come whole");
+    let (body, _) = body.map_err(|error| match error.upcast().downcast_ref::<BodyOverFlow>() {
+        Some(_) => Code::TooLarge.because(format_args!("a body may have {MAX} bytes")),
+        None => broke_off(),
+    })?;
+    let announced = headers.get(header::CONTENT_LENGTH).and_then(|length| length.to_str().ok()?.parse().ok());
+    match announced {
+        Some(length) if body.len() < length => Err(broke_off()),
+        _ => Ok(body),
+    }
+}
+
 async fn any<const MAX: usize>(
     ctx: &WebContext<'_, Door>,
     body: Result<(Bytes, Limit<MAX>), WebError>,
@@ -62,12 +79,9 @@
         .map(str::to_owned);
     let (method, path) = (req.method().as_str().to_owned(), req.uri().path().to_owned());
     let door = ctx.state();
-    let said = match body {
-        Err(_) => {
-            let b = Code::TooLarge.because(format_args!("a body may have {MAX} bytes"));
-            Plain::from((b.http(), visit_json(&b)))
-        }
-        Ok((body, _)) => {
+    let said = match whole_body(req.headers(), body) {
+        Err(error) => Plain::from((error.http(), visit_json(&error))),
+        Ok(body) => {
             // The visit runs in a task of its own: an origin that hangs up does not cut it short.
             let fut = (door.answer)(Knock { method, path, token, body });
             door.rt.spawn(fut).await.unwrap_or_else(|_| {
--- a/crates/qhd/src/chainc.rs
+++ b/crates/qhd/src/chainc.rs
@@ -165,12 +165,14 @@
     async fn at_tail(&self, ask: Request, within: Duration) -> Result<Reply, Error> {
         let until = now() + within.as_millis() as u64;
         loop {
-            let left = Duration::from_millis(until.saturating_sub(now()).clamp(1, 400));
+            let asked = now();
+            let left = Duration::from_millis(until.saturating_sub(asked).clamp(1, 400));
             let to = self.tail();
             match self.ask(&to, ask.clone(), left).await {
                 Ok(Reply::Elsewhere { view }) => self.learn(view),
-                Ok(rep) => return Ok(rep),
-                Err(_) => {}
+                // A process that stood still finds the answer and the end of its patience together: that answer is old.
+                Ok(rep) if now() <= asked + left.as_millis() as u64 => return Ok(rep),
+                Ok(_) | Err(_) => {}
             }
             self.tail_after(&to).await;
             if now() + 50 >= until {
