Mesh: a probe's answer counts for the node that was asked, in this life

Cause: any Pong with a probe's number ended the probe, so a process that took the address of a node that is gone kept it alive; probe numbers began at 0 in each life, so an answer to an earlier life could end a probe of this one; a node that came back with a lower incarnation (its wall clock stepped back) stayed dead for the others until its burial ended, and at a new address was not found there.

--- a/crates/qh-mesh/src/member.rs
+++ b/crates/qh-mesh/src/member.rs
@@ -31,6 +31,15 @@
     pub indirect: bool,
 }
 
+/// A probe for another node.
+#[derive(Clone, Debug)]
+pub(crate) struct Relay {
+    pub target: Name,
+    pub asker_addr: Name,
+    pub asker_seq: u64,
+    pub until: Ms,
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub enum Out {
     Send(Name, Letter),
@@ -46,8 +55,8 @@
     pub(crate) view: Vec<Name>,
     pub(crate) seeds: Vec<Name>,
     pub(crate) probes: BTreeMap<u64, Probe>,
-    /// Asked on behalf of others: my number, the asker's address and number.
-    pub(crate) relays: BTreeMap<u64, (Name, u64, Ms)>,
+    /// Asked on behalf of others, by my number.
+    pub(crate) relays: BTreeMap<u64, Relay>,
     pub(crate) seq: u64,
     next: [Ms; 3],
     pub(crate) news: BTreeMap<Name, (Beat, u32)>,
@@ -67,7 +76,8 @@
             seeds,
             probes: BTreeMap::new(),
             relays: BTreeMap::new(),
-            seq: 0,
+            // An answer to a probe of an earlier life answers none of this one.
+            seq: seed >> 1,
             next: [now; 3],
             news: BTreeMap::new(),
             out: Vec::new(),
@@ -130,16 +140,12 @@
         l.rumors.into_iter().for_each(|r| self.hear(now, r, false));
         match l.m {
             MeshMsg::Ping { seq } => self.letter(&from.addr, MeshMsg::Pong { seq }),
-            MeshMsg::Pong { seq } => {
-                if let Some((addr, theirs, _)) = self.relays.remove(&seq) {
-                    self.letter(&addr, MeshMsg::Pong { seq: theirs });
-                }
-                self.probes.remove(&seq);
-            }
-            MeshMsg::PingFor { seq, target: _, addr } => {
+            MeshMsg::Pong { seq } => self.pong(&from, seq),
+            MeshMsg::PingFor { seq, target, addr } => {
                 self.seq += 1;
                 let mine = self.seq;
-                self.relays.insert(mine, (from.addr, seq, now + INDIRECT_WITHIN));
+                let until = now + INDIRECT_WITHIN;
+                self.relays.insert(mine, Relay { target, asker_addr: from.addr, asker_seq: seq, until });
                 self.letter(&addr, MeshMsg::Ping { seq: mine });
             }
             MeshMsg::Shuffle { peers } => {
@@ -156,7 +162,9 @@
     /// A node that speaks is alive whatever is said of it; a rumor about me that is grave is refuted.
     fn hear(&mut self, now: Ms, r: Rumor, itself: bool) {
         if r.name == self.me.name {
-            if r.life != Life::Alive && r.inc >= self.me.inc && self.me.life == Life::Alive {
+            // Also of an earlier life that began by a wall clock since stepped back.
+            let outranked = r.inc > self.me.inc || (r.life != Life::Alive && r.inc == self.me.inc);
+            if outranked && self.me.life == Life::Alive {
                 self.me.inc = r.inc + 1;
             }
             return;
@@ -166,13 +174,15 @@
         if !newer {
             // Its own word clears a suspicion of the same incarnation only by a higher one, but a probe that
             // is answered need not wait for it.
-            if let Some(k) = k
-                && itself
-                && k.r.life == Life::Suspect
-                && r.inc == k.r.inc
-            {
-                k.r.life = Life::Alive;
-                k.since = now;
+            if let Some(k) = k.filter(|_| itself) {
+                if k.r.life == Life::Suspect && r.inc == k.r.inc {
+                    k.r.life = Life::Alive;
+                    k.since = now;
+                }
+                // It does not know what outranks it: the next letter tells it.
+                if r.inc < k.r.inc {
+                    k.told = 0;
+                }
             }
             return;
         }
--- a/crates/qh-mesh/src/probe.rs
+++ b/crates/qh-mesh/src/probe.rs
@@ -1,6 +1,6 @@
 //! Asking, suspecting, burying, shuffling, and passing beats on: what the mesh does as time passes (§6.2).
 use crate::member::{INDIRECT_WITHIN, Mesh, Out, Probe, VIEW};
-use crate::msgs::{Life, MeshMsg};
+use crate::msgs::{Life, MeshMsg, Rumor};
 use qh_core::{Beat, Ms, Name};
 
 const PONG_WITHIN: Ms = 250;
@@ -27,8 +27,22 @@
         self.letter(&addr, MeshMsg::Ping { seq });
     }
 
+    /// An answer counts for the node that was asked, not for another that has its address by now.
+    pub(crate) fn pong(&mut self, from: &Rumor, seq: u64) {
+        if let Some(relay) = self.relays.get(&seq).filter(|relay| relay.target == from.name).cloned() {
+            self.relays.remove(&seq);
+            self.letter(&relay.asker_addr, MeshMsg::Pong { seq: relay.asker_seq });
+        }
+        let Some(probe) = self.probes.get(&seq) else { return };
+        // One that was asked through others comes from a helper, elsewhere than the target.
+        let helped = probe.indirect && self.addr(&probe.target).is_none_or(|addr| addr != from.addr);
+        if probe.target == from.name || helped {
+            self.probes.remove(&seq);
+        }
+    }
+
     pub(crate) fn expire(&mut self, now: Ms) {
-        self.relays.retain(|_, (_, _, until)| *until > now);
+        self.relays.retain(|_, relay| relay.until > now);
         let due: Vec<u64> = self.probes.iter().filter(|(_, p)| p.until <= now).map(|(s, _)| *s).collect();
         for seq in due {
             let Some(p) = self.probes.remove(&seq) else { continue };
