Calls between processes: typed headers, numbers, receivers, and who may be repeated

Cause: a call was sent a second time on a new connection whenever a kept one broke after its frame was written, whatever it asked; frames said neither which call they belong to nor whom they are for, so an answer belonged to whatever was asked last on the connection, and a process started at the address of another took its calls. Change: qh-core's wire is a module of small files. A request carries its number, the tag of the sender's incarnation and of the receiver (name, or incarnation once known); an answer repeats the number and says who gave it, by name and incarnation. What is for another process is declined by type and not run; a connection is kept only after the answer to the very call. The trait Call asks each message type whether it may be repeated and what it is recognized by; what may not ends with OutcomeUnknown (1903) and always has a connection of its own. WrongReceiver is 1904. Starts of a process are told apart by a random incarnation, not by the wall clock, which may be stepped back: heartbeats' numbers, enrolments, lives that passed on commits. Names in rumors have one byte of length: that pays for a part of the headers.

--- a/crates/qh-core/src/code.rs
+++ b/crates/qh-core/src/code.rs
@@ -64,6 +64,8 @@
     DiskBroke = 1804, 500, "the disk did not take a write";
     NoSuchServer = 1901, 404, "no such server is known";
     Unreachable = 1902, 503, "the process could not be reached";
+    OutcomeUnknown = 1903, 504, "the call may have taken effect; it was not sent again";
+    WrongReceiver = 1904, 503, "another process listens at that address";
 }
 
 messages! {
--- a/crates/qh-core/src/rt.rs
+++ b/crates/qh-core/src/rt.rs
@@ -3,6 +3,7 @@
 use crate::Ms;
 use std::cell::RefCell;
 use std::future::Future;
+use std::hash::{BuildHasher, Hasher};
 use std::io;
 use std::pin::{Pin, pin};
 use std::sync::Arc;
@@ -32,6 +33,8 @@
     /// The process's own clock (§2.2).
     fn now(&self) -> Ms;
     fn wall_ms(&self) -> u64;
+    /// Differs from one start of the process to the next, whatever its clocks say.
+    fn incarnation(&self) -> u64;
     /// Wakes at that time of its clock; the number cancels it.
     fn wake_at(&self, at: Ms, w: Waker) -> u64;
     fn cancel(&self, timer: u64);
@@ -72,6 +75,19 @@
     WORLD.with(|w| w.borrow().iter().for_each(|w| w.point(what)));
 }
 
+/// Tells this start of the process from every other: drawn at random once, as a wall clock may be stepped back. It has
+/// no order.
+pub fn incarnation() -> u64 {
+    static DRAWN: std::sync::OnceLock<u64> = std::sync::OnceLock::new();
+    world().map_or_else(|| *DRAWN.get_or_init(draw_incarnation), |w| w.incarnation())
+}
+
+/// An incarnation for a part of the process that begins a life of its own.
+pub fn draw_incarnation() -> u64 {
+    let draw = || std::collections::hash_map::RandomState::new().build_hasher().finish();
+    world().map_or_else(draw, |w| w.incarnation())
+}
+
 /// A number that rises from one start of a process to the next; no rule compares it over machines.
 pub fn wall_ms() -> u64 {
     let since = || std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
--- /dev/null
+++ b/crates/qh-core/src/wire/error.rs
@@ -0,0 +1,48 @@
+//! How a call fails, and what is known of its effect then.
+use crate::wire::{ProcessId, Repeat};
+use crate::{Code, Error};
+use compact_str::{CompactString, format_compact};
+
+/// Why a call brought no answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallError {
+    /// There was no connection, or the frame was not written whole: the receiver cannot have acted on it.
+    NotSent(CompactString),
+    /// The process at the address is not the one that was meant, and has done nothing.
+    Declined {
+        /// Who listens there.
+        by: ProcessId,
+    },
+    /// A call that alters nothing was not answered.
+    NoAnswer(CompactString),
+    /// The frame may have arrived and taken effect; it was not sent again.
+    OutcomeUnknown(CompactString),
+}
+
+impl CallError {
+    /// The error of a call whose frame may have arrived.
+    pub(super) fn unanswered(repeat: Repeat, why: impl std::fmt::Display) -> CallError {
+        let why = format_compact!("{why}");
+        match repeat {
+            Repeat::Read => CallError::NoAnswer(why),
+            Repeat::Recognized(_) | Repeat::Never => CallError::OutcomeUnknown(why),
+        }
+    }
+    /// May the call be sent on another connection after this?
+    pub fn allows(&self, repeat: Repeat) -> bool {
+        match self {
+            CallError::NotSent(_) | CallError::Declined { .. } => true,
+            CallError::NoAnswer(_) | CallError::OutcomeUnknown(_) => repeat.is_allowed(),
+        }
+    }
+}
+
+impl From<CallError> for Error {
+    fn from(error: CallError) -> Error {
+        match error {
+            CallError::NotSent(why) | CallError::NoAnswer(why) => Code::Unreachable.because(why),
+            CallError::Declined { .. } => Code::WrongReceiver.bare(),
+            CallError::OutcomeUnknown(why) => Code::OutcomeUnknown.because(why).unknown(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/qh-core/src/wire/identity.rs
@@ -0,0 +1,64 @@
+//! Who is at one end of a call: a process's name and its incarnation, as short numbers.
+use crate::{Name, hash64, rt};
+use borsh::{BorshDeserialize, BorshSerialize};
+
+/// A receiver tag of requests to whichever process listens at the address.
+pub const ANY_RECEIVER: u32 = 0;
+
+/// A process as frames name it: hashes, as its name would be longer than most messages.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, BorshSerialize, BorshDeserialize)]
+pub struct ProcessId {
+    /// Hash of the name, the same over restarts.
+    pub name: u32,
+    /// Drawn at random at each start.
+    pub incarnation: u32,
+}
+
+impl ProcessId {
+    /// The tag of this one incarnation.
+    pub fn tag(self) -> u32 {
+        fold(hash64(&[&self.name.to_le_bytes(), &self.incarnation.to_le_bytes()]))
+    }
+}
+
+/// The tag of every incarnation of the process with that name.
+pub fn name_tag(name: &str) -> u32 {
+    fold(hash64(&[name.as_bytes()]))
+}
+
+/// 32 bits of a hash, never [`ANY_RECEIVER`].
+fn fold(hash: u64) -> u32 {
+    let half = (hash ^ (hash >> 32)) as u32;
+    half.max(ANY_RECEIVER + 1)
+}
+
+/// The process that calls or answers.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    name: Name,
+    id: ProcessId,
+}
+
+impl Identity {
+    /// This process under that name, in its present incarnation.
+    pub fn new(name: &str) -> Identity {
+        Identity::with_incarnation(name, rt::incarnation())
+    }
+    /// A process of that name in a given incarnation.
+    pub fn with_incarnation(name: &str, incarnation: u64) -> Identity {
+        let id = ProcessId { name: name_tag(name), incarnation: fold(incarnation) };
+        Identity { name: name.into(), id }
+    }
+    /// Its name.
+    pub fn name(&self) -> &Name {
+        &self.name
+    }
+    /// What frames call it.
+    pub fn id(&self) -> ProcessId {
+        self.id
+    }
+    /// Is a request with that receiver tag meant for this process?
+    pub fn is_receiver(&self, tag: u32) -> bool {
+        tag == ANY_RECEIVER || tag == self.id.name || tag == self.id.tag()
+    }
+}
--- /dev/null
+++ b/crates/qh-core/src/wire/mod.rs
@@ -0,0 +1,21 @@
+//! Calls between the project's own processes: one framed request, one framed answer (§2.6).
+//!
+//! Every request names its sender, its receiver and its call number; every answer repeats the number and names the
+//! process that gave it. A process declines what is not meant for it, and a caller takes an answer only to its own
+//! call. Whether a call may be sent a second time is said by its [`Call`] type.
+mod call;
+mod caller;
+mod error;
+mod frame;
+mod identity;
+mod server;
+
+pub use call::{Call, Key, Repeat};
+pub use caller::{Caller, Connector, Destination, Tcp};
+pub use error::CallError;
+pub use frame::{
+    AnswerHeader, FRAME_MAX, FrameKind, HEADER_BYTES, Incoming, LENGTH_BYTES, PROTOCOL_VERSION,
+    RequestHeader, encode, read_frame, write_frame,
+};
+pub use identity::{Identity, ProcessId};
+pub use server::{Received, answer_to, receive, respond, serve};
--- /dev/null
+++ b/crates/qh-core/tests/wire/main.rs
@@ -0,0 +1,34 @@
+//! Calls between processes (§2.6): an answer reaches only its call, and what may not be repeated arrives once.
+mod model;
+mod network;
+mod sockets;
+
+use borsh::{BorshDeserialize, BorshSerialize};
+use qh_core::wire::{Call, Key, Repeat};
+
+/// One request of each kind; the answer to each is its own number.
+#[derive(Clone, Copy, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub enum Ask {
+    Read(u32),
+    Write(u32),
+    Once(u32),
+}
+
+impl Ask {
+    pub fn number(self) -> u32 {
+        match self {
+            Ask::Read(number) | Ask::Write(number) | Ask::Once(number) => number,
+        }
+    }
+}
+
+impl Call for Ask {
+    type Answer = u32;
+    fn repeat(&self) -> Repeat {
+        match self {
+            Ask::Read(_) => Repeat::Read,
+            Ask::Write(_) => Repeat::Recognized(Key::Write),
+            Ask::Once(_) => Repeat::Never,
+        }
+    }
+}
--- a/crates/qh-lab/src/capacity/counted.rs
+++ b/crates/qh-lab/src/capacity/counted.rs
@@ -5,6 +5,7 @@
 use crate::sim::core::{Core, Pid};
 use crate::sim::keeper::{self, Disk, Keepers};
 use crate::sim::net::OnFrame;
+use qh_core::wire::{Call, Incoming, LENGTH_BYTES, RequestHeader};
 use qh_core::{Name, rt};
 use qh_mesh::{MeshMsg, NodeAsk, NodeKnock};
 use qh_state::keeper::RecoveredState;
@@ -31,26 +32,32 @@
     pub pushed_after_death: u64,
 }
 
+/// What a request frame asks.
+fn asked<Q: Call>(frame: &[u8]) -> Option<Q> {
+    let (_, message) = Incoming::parse(frame).ok()?.header::<RequestHeader>().ok()?;
+    borsh::from_slice(message).ok()
+}
+
 fn to_keeper(b: &[u8]) -> &'static str {
-    match borsh::from_slice(b) {
-        Ok(KeeperRequest::Node { ask: Request::Feed { .. } }) => "feed",
-        Ok(KeeperRequest::Node { ask: Request::Write { .. } }) => "write",
-        Ok(KeeperRequest::Node { ask: Request::Status }) => "status",
-        Ok(KeeperRequest::Node { .. }) => "other",
+    match asked(b) {
+        Some(KeeperRequest::Node { ask: Request::Feed { .. } }) => "feed",
+        Some(KeeperRequest::Node { ask: Request::Write { .. } }) => "write",
+        Some(KeeperRequest::Node { ask: Request::Status }) => "status",
+        Some(KeeperRequest::Node { .. }) => "other",
         _ => "none",
     }
 }
 
 fn to_node(b: &[u8]) -> &'static str {
-    match borsh::from_slice(b) {
-        Ok(NodeKnock::Letter { l }) => match l.m {
+    match asked(b) {
+        Some(NodeKnock::Letter { l }) => match l.m {
             MeshMsg::Ping { .. } | MeshMsg::Pong { .. } | MeshMsg::PingFor { .. } => "mesh probes",
             MeshMsg::Shuffle { .. } | MeshMsg::Shuffled { .. } => "mesh views",
             MeshMsg::Beats { .. } => "mesh beats",
         },
-        Ok(NodeKnock::Ask { ask: NodeAsk::Acked { .. } }) => "acked",
-        Ok(NodeKnock::Ask { ask: NodeAsk::Digests { .. } | NodeAsk::Range { .. } }) => "copies",
-        Ok(NodeKnock::Ask { .. }) => "asks",
+        Some(NodeKnock::Ask { ask: NodeAsk::Acked { .. } }) => "acked",
+        Some(NodeKnock::Ask { ask: NodeAsk::Digests { .. } | NodeAsk::Range { .. } }) => "copies",
+        Some(NodeKnock::Ask { .. }) => "asks",
         _ => "none",
     }
 }
@@ -59,10 +66,10 @@
     let to = to.clone();
     core.tap_frames(addr, move |inner: OnFrame| {
         Arc::new(move |b: Vec<u8>| {
-            let (kind, len, to, fut) = (kind(&b), b.len() as u64 + 4, to.clone(), inner(b));
+            let (kind, len, to, fut) = (kind(&b), (b.len() + LENGTH_BYTES) as u64, to.clone(), inner(b));
             Box::pin(async move {
                 let got = fut.await;
-                let back = got.as_ref().map_or(0, |g| g.len() as u64 + 4);
+                let back = got.as_ref().map_or(0, |g| (g.len() + LENGTH_BYTES) as u64);
                 let mut t = to.lock().unwrap();
                 let row = t.entry(kind).or_default();
                 *row = [row[0] + 1, row[1] + len, row[2] + back];
@@ -103,8 +110,7 @@
         let on = f.clone();
         let on_frame = move |b: Vec<u8>| {
             let f = on.clone();
-            let got = borsh::from_slice(&b).ok();
-            Box::pin(async move { borsh::to_vec(&meshd::knock_held(&f, got?).await).ok() }) as rt::Fut<'_, _>
+            Box::pin(async move { meshd::respond(&f, &b).await }) as rt::Fut<'_, _>
         };
         c.listen_frames(&s.mesh, pid, Arc::new(on_frame));
         tap(c, &s.mesh, to_node, &to);
--- a/crates/qh-lab/src/capacity/hollow.rs
+++ b/crates/qh-lab/src/capacity/hollow.rs
@@ -131,7 +131,7 @@
     let had = resident_kib();
     let (nodes, fleets) = nodes(s, &addrs, &ports).map_err(said)?;
     runtime().block_on(async {
-        let chain = Arc::new(Chain::new(&addrs));
+        let chain = Arc::new(Chain::new("node", &addrs));
         begin(s, &chain, &fleets).await?;
         tokio::time::sleep(Duration::from_secs(4)).await;
         let used = || (used_ms(&nodes), ks.iter().map(|k| used_ms(k)).collect::<Vec<_>>());
--- a/crates/qh-lab/src/sim/host.rs
+++ b/crates/qh-lab/src/sim/host.rs
@@ -1,8 +1,8 @@
 //! What a simulated process has in place of tokio and the kernel (§5.8, §9.1).
 use super::core::{Core, Pid};
 use super::net::{Link, Net, Visit};
-use qh_core::Ms;
 use qh_core::rt::{Fut, OnBreak, Pipe, World};
+use qh_core::{Ms, hash64};
 use serde_json::Value;
 use std::io::{Error, ErrorKind, Result};
 use std::sync::Arc;
@@ -69,6 +69,9 @@
     fn wall_ms(&self) -> u64 {
         self.core.lock().now + 1_000_000
     }
+    fn incarnation(&self) -> u64 {
+        hash64(&[&self.pid.to_le_bytes(), &self.life.to_le_bytes()])
+    }
     fn wake_at(&self, at: Ms, w: Waker) -> u64 {
         self.core.wake_at(self.pid, at, w)
     }
--- a/crates/qh-lab/src/sim/keeper.rs
+++ b/crates/qh-lab/src/sim/keeper.rs
@@ -1,6 +1,7 @@
 //! A keeper in the simulator: the real [`Keeper`] with a disk that is what was synced (§5.7).
 use super::core::{Core, Pid};
 use super::net::Net;
+use qh_core::wire::{self, Identity, Received};
 use qh_core::{Ms, Name, now, rt};
 use qh_state::keeper::{Input, Output, Record, RecoveredState};
 use qh_state::patch::Packed;
@@ -49,13 +50,15 @@
         }
     };
     core.lock().links.peer.insert(pid, Arc::new(on_peer));
-    let (q, s, c) = (p.clone(), step.clone(), core.clone());
+    let (q, s, c, me) = (p.clone(), step.clone(), core.clone(), Identity::new(name));
     core.listen_frames(
         addr,
         pid,
         Arc::new(move |bytes| {
-            let Ok(KeeperRequest::Node { ask }) = borsh::from_slice::<KeeperRequest>(&bytes) else {
-                return Box::pin(async { None });
+            let (call, ask) = match wire::receive::<KeeperRequest>(&me, &bytes) {
+                Ok(Received::Request { call, request: KeeperRequest::Node { ask } }) => (call, ask),
+                Ok(Received::Declined(frame)) => return Box::pin(async { Some(frame) }),
+                _ => return Box::pin(async { None }),
             };
             let (tx, rx) = oneshot::channel();
             // The bug: a tail hands its store out without asking whether it may.
@@ -75,9 +78,10 @@
                 drop(x);
                 s(&q, Input::Request { token, ask });
             }
+            let me = me.clone();
             Box::pin(async move {
-                let rep = rx.await.ok()?;
-                borsh::to_vec(&KeeperResponse::Reply { rep }).ok()
+                let answer = KeeperResponse::Reply { rep: rx.await.ok()? };
+                wire::answer_to::<KeeperRequest>(&me, call, &answer).ok()
             })
         }),
     );
--- a/crates/qh-lab/src/sim/procs.rs
+++ b/crates/qh-lab/src/sim/procs.rs
@@ -92,8 +92,8 @@
         &set.mesh,
         pid,
         Arc::new(move |b| {
-            let got = borsh::from_slice(&b).ok().map(|k| meshd::knock(&g, k));
-            Box::pin(async move { got.and_then(|k| borsh::to_vec(&k).ok()) })
+            let got = meshd::respond_at_once(&g, &b);
+            Box::pin(async move { got })
         }),
     );
     f.go();
--- a/crates/qh-lab/tests/choice/main.rs
+++ b/crates/qh-lab/tests/choice/main.rs
@@ -19,6 +19,9 @@
     fn wall_ms(&self) -> u64 {
         1
     }
+    fn incarnation(&self) -> u64 {
+        1
+    }
     fn wake_at(&self, _: Ms, _: Waker) -> u64 {
         0
     }
--- a/crates/qh-lab/tests/held/fleet.rs
+++ b/crates/qh-lab/tests/held/fleet.rs
@@ -66,9 +66,7 @@
                 let to = f.clone();
                 let on_frame = move |b: Vec<u8>| {
                     let f = to.clone();
-                    let got = borsh::from_slice(&b).ok();
-                    Box::pin(async move { borsh::to_vec(&meshd::knock_held(&f, got?).await).ok() })
-                        as rt::Fut<'_, _>
+                    Box::pin(async move { meshd::respond(&f, &b).await }) as rt::Fut<'_, _>
                 };
                 c.listen_frames(&set.mesh, pid, Arc::new(on_frame));
                 f.go();
--- a/crates/qh-mesh/src/lib.rs
+++ b/crates/qh-mesh/src/lib.rs
@@ -1,9 +1,11 @@
 //! How nodes know each other (§6): partial views, liveness, duties by key, copies mended by digests.
+mod calls;
 pub mod copies;
 pub mod duty;
 pub mod member;
 pub mod msgs;
 mod probe;
+mod short;
 
 pub use member::Mesh;
 pub use msgs::*;
--- a/crates/qh-mesh/src/msgs.rs
+++ b/crates/qh-mesh/src/msgs.rs
@@ -1,4 +1,5 @@
 //! Messages between nodes (§6).
+use crate::short;
 use qh_core::{Beat, Fence, Name, Position, Version, messages};
 use qh_data::session::Context;
 
@@ -8,7 +9,16 @@
 
     /// What is said of one node; a higher incarnation wins, then the graver state (§6.2).
     #[derive(Eq, Default)]
-    pub struct Rumor { pub name: Name, pub addr: Name, pub district: Name, pub inc: u64, pub life: Life }
+    pub struct Rumor {
+        #[borsh(serialize_with = "short::serialize", deserialize_with = "short::deserialize")]
+        pub name: Name,
+        #[borsh(serialize_with = "short::serialize", deserialize_with = "short::deserialize")]
+        pub addr: Name,
+        #[borsh(serialize_with = "short::serialize", deserialize_with = "short::deserialize")]
+        pub district: Name,
+        pub inc: u64,
+        pub life: Life
+    }
 
     pub enum MeshMsg {
         Ping { seq: u64 },
--- /dev/null
+++ b/crates/qh-state/src/calls.rs
@@ -0,0 +1,51 @@
+//! Which calls to a keeper may be sent again, and what they are recognized by then (§2.6).
+use crate::messages::{KeeperRequest, KeeperResponse, PeerMessage, Request};
+use qh_core::wire::{Call, Key, Repeat};
+
+impl Call for KeeperRequest {
+    type Answer = KeeperResponse;
+    fn repeat(&self) -> Repeat {
+        match self {
+            KeeperRequest::Peer { m, .. } => m.repeat(),
+            KeeperRequest::Node { ask } => ask.repeat(),
+        }
+    }
+}
+
+impl PeerMessage {
+    /// Keepers send each other nothing that counts twice: the protocol itself repeats whatever is lost.
+    pub fn repeat(&self) -> Repeat {
+        match self {
+            // An acceptor answers the same ballot alike, and a proposer counts machines, not answers.
+            PeerMessage::Prepare { .. }
+            | PeerMessage::Promise { .. }
+            | PeerMessage::Accept { .. }
+            | PeerMessage::Accepted { .. } => Repeat::Recognized(Key::Ballot),
+            // A grant counts for the one heartbeat with its number, which no other life of the sender has used.
+            PeerMessage::Beat { .. } | PeerMessage::Grant { .. } => Repeat::Recognized(Key::Number),
+            // Entries apply at their own number only, acknowledgements only rise, and what is left of a lease is counted
+            // from the arrival, so that a later copy says no less.
+            PeerMessage::Pass { .. }
+            | PeerMessage::Ack { .. }
+            | PeerMessage::Leases { .. }
+            | PeerMessage::Snapshot { .. }
+            | PeerMessage::Discover { .. }
+            | PeerMessage::CurrentView { .. } => Repeat::Recognized(Key::Number),
+            PeerMessage::Need { .. } | PeerMessage::Fetch { .. } => Repeat::Read,
+        }
+    }
+}
+
+impl Request {
+    /// What nodes and operators ask.
+    pub fn repeat(&self) -> Repeat {
+        match self {
+            // It renews the lease of the same entry; the node counts its term from before it first asked.
+            Request::Feed { .. } => Repeat::Recognized(Key::Number),
+            Request::Write { .. } => Repeat::Recognized(Key::Write),
+            // Repeated after it took effect it would be declined, as the view has moved: a wrong answer.
+            Request::Machines { .. } => Repeat::Never,
+            Request::Read | Request::Adopted | Request::Status => Repeat::Read,
+        }
+    }
+}
--- a/crates/qh-state/src/driver.rs
+++ b/crates/qh-state/src/driver.rs
@@ -2,7 +2,7 @@
 use crate::disk::Disk;
 use crate::keeper::{Input, Keeper, Output, Record};
 use crate::messages::{KeeperRequest, KeeperResponse, PeerMessage, Reply};
-use qh_core::wire::{Caller, answer};
+use qh_core::wire::{Caller, Destination, Identity, serve};
 use qh_core::{Code, Error, Name, now};
 use std::collections::HashMap;
 use std::time::Duration;
@@ -17,26 +17,39 @@
 /// Steps that share one sync.
 const TOGETHER: usize = 64;
 
+/// A peer that does not take a message in this time is given up; the protocol sends again.
+const PEER_WITHIN: Duration = Duration::from_millis(500);
+
+/// Sends to other keepers, to each in order.
 struct Peers {
-    me: Name,
-    to: HashMap<Name, mpsc::Sender<PeerMessage>>,
+    me: Identity,
+    to: HashMap<(Name, Name), mpsc::Sender<PeerMessage>>,
 }
 
 impl Peers {
-    fn send(&mut self, addr: Name, m: PeerMessage) {
+    fn send(&mut self, name: Name, addr: Name, m: PeerMessage) {
         let me = self.me.clone();
-        let tx = self.to.entry(addr.clone()).or_insert_with(|| {
-            let (tx, mut rx) = mpsc::channel::<PeerMessage>(PEER_HOLD);
-            tokio::spawn(async move {
-                let c = Caller::default();
-                while let Some(m) = rx.recv().await {
-                    let k = KeeperRequest::Peer { from: me.clone(), m };
-                    let _ = c.call::<_, KeeperResponse>(&addr, &k, Duration::from_millis(500)).await;
-                }
-            });
-            tx
+        let to = self.to.entry((name.clone(), addr.clone())).or_insert_with(|| {
+            let (to, waiting) = mpsc::channel::<PeerMessage>(PEER_HOLD);
+            tokio::spawn(deliver(me, name, addr, waiting));
+            to
         });
-        let _ = tx.try_send(m);
+        let _ = to.try_send(m);
+    }
+}
+
+/// Brings messages to one peer, one after the other.
+async fn deliver(me: Identity, name: Name, addr: Name, mut waiting: mpsc::Receiver<PeerMessage>) {
+    let from = me.name().clone();
+    let caller = Caller::new(me);
+    while let Some(m) = waiting.recv().await {
+        // Seeds are known by their address alone; everything else is for the keeper of that very name.
+        let to = match m {
+            PeerMessage::Discover { .. } => Destination::address(&addr),
+            _ => Destination::process(&name, &addr),
+        };
+        let request = KeeperRequest::Peer { from: from.clone(), m };
+        let _ = caller.call(to, &request, PEER_WITHIN).await;
     }
 }
 
@@ -71,7 +84,8 @@
 ) -> Result<(), Error> {
     let (tx, mut rx) = mpsc::channel::<Door>(1024);
     let door = tx.clone();
-    let accept = tokio::spawn(answer(lst, LINKS, move |k: KeeperRequest| {
+    let me = Identity::new(&k.me);
+    let accept = tokio::spawn(serve(lst, LINKS, me.clone(), move |k: KeeperRequest| {
         let door = door.clone();
         async move {
             match k {
@@ -88,7 +102,7 @@
             }
         }
     }));
-    let mut peers = Peers { me: k.me.clone(), to: HashMap::new() };
+    let mut peers = Peers { me, to: HashMap::new() };
     let mut waits: HashMap<u64, oneshot::Sender<Reply>> = HashMap::new();
     let mut token = 0;
     let mut tick = tokio::time::interval(Duration::from_millis(20));
@@ -129,7 +143,7 @@
                 Output::Persist(_) => {}
                 Output::Send(to, m) => {
                     if let Some(addr) = k.addr(&to) {
-                        peers.send(addr, m);
+                        peers.send(to, addr, m);
                     }
                 }
                 Output::Reply(t, rep) => {
--- a/crates/qh-state/src/keeper.rs
+++ b/crates/qh-state/src/keeper.rs
@@ -89,8 +89,9 @@
             discovery: None,
             known: VecDeque::new(),
             heard: BTreeMap::new(),
-            // A grant of an earlier life must answer no beat of this one.
-            seq: rt::wall_ms() << 16,
+            // A grant of an earlier life must answer no beat of this one, also where the wall clock was stepped back;
+            // half of the range is left to count on.
+            seq: rt::draw_incarnation() >> 1,
             sent: BTreeMap::new(),
             grants: BTreeMap::new(),
             lease_until: 0,
--- a/crates/qh-state/src/lib.rs
+++ b/crates/qh-state/src/lib.rs
@@ -1,4 +1,5 @@
 //! The state every process shares: chain, view register, leases, store, feed (§5).
+mod calls;
 mod chain;
 mod discovery;
 pub mod disk;
--- /dev/null
+++ b/crates/qh-state/tests/incarnation.rs
@@ -0,0 +1,106 @@
+//! Messages to an earlier life of a keeper count for nothing in a later one (§5.3), whatever the wall clock says.
+use qh_core::rt::{Fut, OnBreak, Pipe, World, within};
+use qh_core::{Ms, Name};
+use qh_state::keeper::{Input, Output, RecoveredState};
+use qh_state::{Keeper, Machine, PeerMessage, View};
+use std::io;
+use std::sync::Arc;
+use std::task::Waker;
+
+/// One start of a process whose wall clock is stepped back to where it was at the start before.
+struct Life(u64);
+
+impl World for Life {
+    fn now(&self) -> Ms {
+        1
+    }
+    fn wall_ms(&self) -> u64 {
+        1_000_000
+    }
+    fn incarnation(&self) -> u64 {
+        self.0
+    }
+    fn wake_at(&self, _: Ms, _: Waker) -> u64 {
+        0
+    }
+    fn cancel(&self, _: u64) {}
+    fn spawn(&self, _: Fut<'static, ()>) {}
+    fn open(&self, _: &str, _: OnBreak) -> Fut<'static, io::Result<Arc<dyn Pipe>>> {
+        Box::pin(async { Err(io::ErrorKind::ConnectionRefused.into()) })
+    }
+    fn call(&self, _: &str, _: Vec<u8>) -> Fut<'static, io::Result<Vec<u8>>> {
+        Box::pin(async { Err(io::ErrorKind::ConnectionRefused.into()) })
+    }
+    fn broken(&self, _: &str) -> bool {
+        false
+    }
+    fn point(&self, _: &str) {}
+}
+
+fn recovered() -> RecoveredState {
+    let names = ["k1", "k2", "k3"].map(Name::from);
+    let machines = names.iter().map(|n| Machine { name: n.clone(), addr: n.clone() }).collect();
+    let view = View { version: 1, members: names.to_vec(), machines };
+    RecoveredState { view, served: 1, ..Default::default() }
+}
+
+/// The tail as it starts in that life, and the grants that k1 gives its first heartbeats.
+fn start(life: u64, at: Ms) -> (Keeper, Vec<PeerMessage>) {
+    let mut tail = within(Arc::new(Life(life)), || Keeper::new("k3".into(), at, recovered()));
+    let mut grants = Vec::new();
+    for step in 0..5 {
+        for output in tail.step(at + step * 500, Input::Tick) {
+            if let Output::Send(to, PeerMessage::Beat { view, seq, .. }) = output
+                && to == "k1"
+            {
+                grants.push(PeerMessage::Grant { version: view.version, seq });
+            }
+        }
+    }
+    (tail, grants)
+}
+
+#[test]
+fn a_grant_to_an_earlier_life_renews_no_lease_of_this_one() {
+    let (mut first, old_grants) = start(0x9e37_79b9_7f4a_7c15, 1_000);
+    let at = 1_000 + 4 * 500;
+    first.step(at, Input::Peer { from: "k1".into(), m: old_grants.last().unwrap().clone() });
+    assert!(first.serving(), "two of three grant its lease");
+
+    let (mut second, grants) = start(0x3c6e_f372_fe94_f82b, 1_000);
+    for m in old_grants {
+        second.step(at, Input::Peer { from: "k1".into(), m });
+    }
+    assert!(!second.serving(), "only grants to its own heartbeats count");
+    second.step(at, Input::Peer { from: "k1".into(), m: grants.last().unwrap().clone() });
+    assert!(second.serving());
+}
+
+/// The register's ballots are the other promise that outlives a start: they come from the disk.
+#[test]
+fn a_ballot_of_an_earlier_life_is_never_used_again() {
+    let mut recovered = recovered();
+    let mut used = Vec::new();
+    for life in 0..3 {
+        let mut keeper = within(Arc::new(Life(life)), || Keeper::new("k3".into(), 1_000, recovered.clone()));
+        // k1 and k2 are silent: it proposes a view without them.
+        for step in 0..60 {
+            for output in keeper.step(1_000 + step * 100, Input::Tick) {
+                match output {
+                    Output::Persist(qh_state::keeper::Record::Acceptor { acceptor }) => {
+                        recovered.acceptor = acceptor
+                    }
+                    Output::Send(_, PeerMessage::Prepare { ballot }) if !used.contains(&(life, ballot)) => {
+                        used.push((life, ballot));
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+    let mut ballots: Vec<_> = used.iter().map(|(_, ballot)| *ballot).collect();
+    assert!(used.iter().any(|(life, _)| *life == 2), "{used:?}");
+    ballots.sort();
+    ballots.dedup();
+    assert_eq!(ballots.len(), used.len(), "{used:?}");
+}
--- a/crates/qhd/src/asked.rs
+++ b/crates/qhd/src/asked.rs
@@ -25,7 +25,7 @@
 
 impl Default for Life {
     fn default() -> Self {
-        Life(rt::wall_ms())
+        Life(rt::incarnation())
     }
 }
 
--- a/crates/qhd/src/chainc.rs
+++ b/crates/qhd/src/chainc.rs
@@ -1,11 +1,11 @@
 //! Writes to the chain's head, sent again under the same key until they are answered (§5.2).
 use qh_core::rt;
-use qh_core::wire::Caller;
+use qh_core::wire::{Caller, Destination, Identity};
 use qh_core::{Code, Error, Name, now};
 use qh_state::{
     Adopted, Answer, Command, KeeperRequest, KeeperResponse, KeeperStatus, Reply, Request, Store, View,
 };
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// A keeper that does not tell its view in this time is passed over.
@@ -15,16 +15,17 @@
     keepers: Mutex<Vec<String>>,
     view: Mutex<View>,
     at: Mutex<usize>,
-    caller: Caller,
+    caller: Arc<Caller>,
 }
 
 impl Chain {
-    pub fn new(keepers: &[String]) -> Self {
+    /// Asks those keepers, in the name of `me`.
+    pub fn new(me: &str, keepers: &[String]) -> Self {
         Self {
             keepers: Mutex::new(keepers.to_vec()),
             view: Mutex::default(),
             at: Mutex::new(0),
-            caller: Caller::default(),
+            caller: Caller::new(Identity::new(me)),
         }
     }
     /// The settings name other keepers now.
@@ -34,11 +35,22 @@
         }
     }
     pub async fn ask(&self, addr: &str, ask: Request, within: Duration) -> Result<Reply, Error> {
-        match self.caller.call::<_, KeeperResponse>(addr, &KeeperRequest::Node { ask }, within).await? {
+        let name = self.name_at(addr);
+        let to = match &name {
+            Some(name) if !matches!(ask, Request::Status) => Destination::process(name, addr),
+            // Who is there, and which view it knows, is what is asked.
+            _ => Destination::address(addr),
+        };
+        match self.caller.call(to, &KeeperRequest::Node { ask }, within).await? {
             KeeperResponse::Reply { rep } => Ok(rep),
             KeeperResponse::Taken => Err(Code::ChainDown.because("an answer that is none")),
         }
     }
+    /// The keeper that the view knows at an address.
+    fn name_at(&self, addr: &str) -> Option<Name> {
+        let view = self.view.lock().unwrap();
+        view.machines.iter().find(|machine| machine.addr == addr).map(|machine| machine.name.clone())
+    }
     pub fn view(&self) -> View {
         self.view.lock().unwrap().clone()
     }
--- a/crates/qhd/src/feed.rs
+++ b/crates/qhd/src/feed.rs
@@ -92,7 +92,7 @@
 
 /// Enters this process among those that may hold leases (§5.6); 0 if that could not be had.
 async fn enroll(f: &Fleet, tried: u64) -> ChangeNo {
-    let (node, life) = (Name::from(f.node.set.name.as_str()), rt::wall_ms());
+    let (node, life) = (Name::from(f.node.set.name.as_str()), rt::incarnation());
     let key = format!("enroll/{node}/{life:x}/{tried}");
     match f.chain.write(&key, Command::Enroll { node, life }, ENROLL).await {
         Ok(Answer::Enrolled(n)) => n,
--- a/crates/qhd/src/lib.rs
+++ b/crates/qhd/src/lib.rs
@@ -48,7 +48,7 @@
         Arc::new(Fleet {
             node: Node::new(set.clone(), copies, rt::Spawner::here()),
             mesh,
-            chain: chainc::Chain::new(&set.keepers),
+            chain: chainc::Chain::new(&set.name, &set.keepers),
             known: Default::default(),
             duty: Default::default(),
             enrolled: Default::default(),
--- a/crates/qhd/src/meshd.rs
+++ b/crates/qhd/src/meshd.rs
@@ -2,7 +2,7 @@
 use crate::{Fleet, report};
 use qh_core::rt;
 use qh_core::settings::NodeSettings;
-use qh_core::wire::{Caller, answer};
+use qh_core::wire::{self, Caller, Destination, Identity, Received};
 use qh_core::{Code, Error, Name, now};
 use qh_mesh::copies::Table;
 use qh_mesh::member::Out;
@@ -12,13 +12,15 @@
 use tokio::net::TcpListener;
 
 const ASK: Duration = Duration::from_millis(700);
+const LETTER: Duration = Duration::from_millis(400);
 const LINKS: usize = 512;
 
 pub struct Net {
     pub me: Name,
+    identity: Identity,
     pub mesh: Mutex<Mesh>,
     pub table: Mutex<Table>,
-    caller: Caller,
+    caller: Arc<Caller>,
 }
 
 impl Net {
@@ -29,11 +31,13 @@
             (s.name.as_str().into(), s.mesh.as_str().into(), s.district.as_str().into());
         let me = Rumor { name, addr, district, inc, life: Life::Alive };
         let seeds = s.seeds.iter().map(|x| x.as_str().into()).collect();
+        let identity = Identity::new(&s.name);
         Arc::new(Net {
             me: me.name.clone(),
+            identity: identity.clone(),
             mesh: Mutex::new(Mesh::new(me, seeds, fastrand::u64(..), now())),
             table: Mutex::default(),
-            caller: Caller::default(),
+            caller: Caller::new(identity),
         })
     }
     pub fn live(&self) -> Vec<(Name, Name)> {
@@ -42,7 +46,8 @@
     pub async fn ask(&self, node: &str, ask: NodeAsk) -> Result<NodeRep, Error> {
         let addr = self.mesh.lock().unwrap().addr(node);
         let addr = addr.ok_or_else(|| Code::Unreachable.because(format_args!("node {node} is not known")))?;
-        match self.caller.call::<_, NodeKnocked>(&addr, &NodeKnock::Ask { ask }, ASK).await? {
+        let to = Destination::process(node, &addr);
+        match self.caller.call(to, &NodeKnock::Ask { ask }, ASK).await? {
             NodeKnocked::Rep { rep } => Ok(rep),
             NodeKnocked::Taken => Err(Code::Unreachable.because("an answer that is none")),
         }
@@ -64,7 +69,8 @@
         let net = self.clone();
         rt::spawn(async move {
             let k = NodeKnock::Letter { l };
-            let _ = net.caller.call::<_, NodeKnocked>(&to, &k, Duration::from_millis(400)).await;
+            // Letters go to addresses, as seeds have no name yet; who answers says so within.
+            let _ = net.caller.call(Destination::address(&to), &k, LETTER).await;
         });
     }
     pub async fn leave(self: &Arc<Self>) {
@@ -121,9 +127,26 @@
     knock(f, k)
 }
 
+/// The answer to a frame of another process; none where it is no frame of this protocol.
+pub async fn respond(f: &Arc<Fleet>, frame: &[u8]) -> Option<Vec<u8>> {
+    wire::respond(&f.mesh.identity, frame, |k: NodeKnock| knock_held(f, k)).await.ok()
+}
+
+/// The same where no server is looked at before, so that nothing is waited for.
+pub fn respond_at_once(f: &Arc<Fleet>, frame: &[u8]) -> Option<Vec<u8>> {
+    let me = &f.mesh.identity;
+    match wire::receive::<NodeKnock>(me, frame).ok()? {
+        Received::Request { call, request } => {
+            wire::answer_to::<NodeKnock>(me, call, &knock(f, request)).ok()
+        }
+        Received::Declined(frame) => Some(frame),
+    }
+}
+
 /// Answers other processes on the mesh address.
 pub async fn serve(f: Arc<Fleet>, lst: TcpListener) {
-    answer(lst, LINKS, move |k: NodeKnock| {
+    let me = f.mesh.identity.clone();
+    wire::serve(lst, LINKS, me, move |k: NodeKnock| {
         let f = f.clone();
         async move { knock_held(&f, k).await }
     })
