Held links: an owed answer closes the link by type, stray bytes too, a cancelled step too

Found and mended: - Bytes that a server sent behind an answer stayed in the link's buffer, and were the answer to the next call: the check of an idle link looked at the socket alone. Such a link is broken, and asks nothing more. - A step of a transaction that was cancelled left the session without its transaction, so the next statement would have run by itself. No caller cancels a step and goes on today; now the session stands broken then. - That a link whose answer is owed goes back to no pool rested on each caller. The link knows it now, and neither the pool nor another call takes it.

--- a/crates/qh-data/src/held/link.rs
+++ b/crates/qh-data/src/held/link.rs
@@ -22,15 +22,21 @@
     pub values: Values,
     pub prepared: HashSet<Name>,
     pub used: Ms,
+    /// A call was begun on it and not answered, whether it failed or was cancelled: it is never used again.
+    owes_answer: bool,
 }
 
 impl Link {
     pub fn new(line: Box<dyn Line>) -> Link {
-        Link { line, values: Values::new(), prepared: HashSet::new(), used: now() }
+        Link { line, values: Values::new(), prepared: HashSet::new(), used: now(), owes_answer: false }
     }
     pub fn broken(&mut self) -> Option<io::Error> {
         self.line.broken()
     }
+    /// May another call be sent on it?
+    pub fn is_usable(&self) -> bool {
+        !self.owes_answer
+    }
 }
 
 /// Why a link did not bring an answer.
@@ -90,6 +96,10 @@
 impl Link {
     /// One call and its answer, watched by the judges; after `Err` the link is not used again.
     pub async fn ask(&mut self, w: &Watched<'_>, c: &Call, within: Ms) -> Result<Said, Lost> {
+        if !self.is_usable() {
+            return Err(strange("an answer is still owed on this link"));
+        }
+        self.owes_answer = true;
         let (id, asked) = (w.held.node.next_id(), now());
         w.row.health.lock().unwrap().overdue.sent(asked, id, w.owe);
         let mut owed = Owed { row: w.row, id, open: true };
@@ -104,6 +114,7 @@
         let j = w.held.node.judges();
         match got {
             Ok(Ok(said)) => {
+                self.owes_answer = false;
                 w.row.health.lock().unwrap().good(now(), &j, id);
                 w.row.well(asked);
                 Ok(said)
--- a/crates/qh-data/src/held/pool.rs
+++ b/crates/qh-data/src/held/pool.rs
@@ -74,9 +74,9 @@
 }
 
 impl Lent {
-    /// Gives the link back in good order.
+    /// Gives the link back in good order; one on which an answer is owed is closed instead.
     pub fn back(mut self) {
-        let link = self.link.take();
+        let link = self.link.take().filter(Link::is_usable);
         self.free(link);
     }
     fn free(&mut self, link: Option<Link>) {
--- a/crates/qh-data/src/held/session.rs
+++ b/crates/qh-data/src/held/session.rs
@@ -144,7 +144,8 @@
     }
 
     async fn run(&mut self, s: Stmt) -> Told {
-        let running = match self.txn.take() {
+        // What is cancelled in the midst of a transaction leaves it broken, so that nothing more is run outside it.
+        let running = match self.begin_step() {
             None => {
                 let way = match self.way() {
                     Ok(w) => w,
@@ -171,7 +172,7 @@
     }
 
     async fn commit(&mut self, id: Bytes) -> Told {
-        match self.txn.take() {
+        let told = match self.begin_step() {
             None => Told::malformed(Stage::Idle),
             Some(Txn::Broken) => Told::gone(txn::aborted("it had failed and is rolled back"), Stage::Idle),
             Some(Txn::Open(r)) => r.commit(&self.held, id).await,
@@ -180,6 +181,17 @@
                 Ok(r) => Box::new(r).commit(&self.held, id).await,
                 Err(b) => Told::gone(b, Stage::Idle),
             },
+        };
+        self.txn = None;
+        told
+    }
+
+    /// Takes the transaction for a step of it; until the step ends it counts as broken.
+    fn begin_step(&mut self) -> Option<Txn> {
+        let txn = self.txn.take();
+        if txn.is_some() {
+            self.txn = Some(Txn::Broken);
         }
+        txn
     }
 }
--- a/crates/qh-data/tests/fake/mod.rs
+++ b/crates/qh-data/tests/fake/mod.rs
@@ -25,6 +25,8 @@
     Lose,
     /// It runs and nobody says so.
     Silent,
+    /// None: it runs and is answered.
+    Run,
 }
 
 #[derive(Default)]
@@ -55,6 +57,8 @@
     open: bool,
     wrote: Vec<String>,
     dead: bool,
+    /// A call on it was not answered: nothing more may be asked here.
+    owes: bool,
 }
 
 impl Servers for Group {
@@ -73,7 +77,8 @@
             }
             drop(d);
             let (values, prepared) = (BTreeMap::new(), HashMap::new());
-            let l = Link { db, server, values, prepared, open: false, wrote: vec![], dead: false };
+            let l =
+                Link { db, server, values, prepared, open: false, wrote: vec![], dead: false, owes: false };
             Ok(Ok((Box::new(l) as Box<dyn Line>, None)))
         })
     }
@@ -121,7 +126,7 @@
                 Err(io::ErrorKind::ConnectionReset.into())
             }
             Some(Fault::Silent) => std::future::pending().await,
-            None => Ok(Said { rows: vec![Bytes::from_static(b"row")], ..self.done(true) }),
+            None | Some(Fault::Run) => Ok(Said { rows: vec![Bytes::from_static(b"row")], ..self.done(true) }),
         }
     }
 }
@@ -129,31 +134,11 @@
 impl Line for Link {
     fn ask<'a>(&'a mut self, c: &'a Call) -> Fut<'a, io::Result<Said>> {
         Box::pin(async move {
-            match c {
-                Call::Begin { .. } => self.open = true,
-                Call::Rollback => {
-                    self.open = false;
-                    self.wrote.clear();
-                }
-                Call::Set { name, value } => drop(self.values.insert(name.clone(), value.clone())),
-                Call::Prepare { name, shape, .. } => drop(self.prepared.insert(name.clone(), text(shape))),
-                Call::Reset => {
-                    self.values.clear();
-                    self.prepared.clear();
-                }
-                Call::Run { text: t, floor, .. } => {
-                    let t = text(t);
-                    let at = floor.map_or_else(String::new, |f| format!("@{}.{} ", f.fence, f.n));
-                    return self.run(format!("{at}{t}"), t.starts_with("WRITE"), false).await;
-                }
-                Call::Execute { name, rest, .. } => {
-                    let shape = self.prepared.get(name).cloned().unwrap();
-                    return self.run(format!("{shape} {}", text(rest)), false, false).await;
-                }
-                Call::Commit { .. } => return self.run("COMMIT".into(), false, true).await,
-                _ => {}
-            }
-            Ok(self.done(false))
+            assert!(!self.owes, "a call on a link whose answer is owed");
+            self.owes = true;
+            let said = self.answer(c).await;
+            self.owes = said.is_err();
+            said
         })
     }
     fn broken(&mut self) -> Option<io::Error> {
@@ -161,6 +146,36 @@
     }
 }
 
+impl Link {
+    async fn answer(&mut self, c: &Call) -> io::Result<Said> {
+        match c {
+            Call::Begin { .. } => self.open = true,
+            Call::Rollback => {
+                self.open = false;
+                self.wrote.clear();
+            }
+            Call::Set { name, value } => drop(self.values.insert(name.clone(), value.clone())),
+            Call::Prepare { name, shape, .. } => drop(self.prepared.insert(name.clone(), text(shape))),
+            Call::Reset => {
+                self.values.clear();
+                self.prepared.clear();
+            }
+            Call::Run { text: t, floor, .. } => {
+                let t = text(t);
+                let at = floor.map_or_else(String::new, |f| format!("@{}.{} ", f.fence, f.n));
+                return self.run(format!("{at}{t}"), t.starts_with("WRITE"), false).await;
+            }
+            Call::Execute { name, rest, .. } => {
+                let shape = self.prepared.get(name).cloned().unwrap();
+                return self.run(format!("{shape} {}", text(rest)), false, false).await;
+            }
+            Call::Commit { .. } => return self.run("COMMIT".into(), false, true).await,
+            _ => {}
+        }
+        Ok(self.done(false))
+    }
+}
+
 pub const PLAN: &str = r#"{"placements":[{"name":"g","select":{"group":["g1"]}}],"rules":[
   {"name":"o","class":"order","placement":"g","when":{"db":["orders"]},"timeout_ms":400,"aim_ms":300},
   {"name":"l","class":"lookup","placement":"g","when":{"db":["looks"]},"timeout_ms":400,"aim_ms":300}],
--- /dev/null
+++ b/crates/qh-data/tests/virtual_time/mod.rs
@@ -0,0 +1,96 @@
+//! A world of virtual time for one test: tasks run in turn, and the clock moves when all of them wait.
+use qh_core::Ms;
+use qh_core::rt::{Fut, OnBreak, Pipe, World, within};
+use std::collections::BTreeMap;
+use std::io;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll, Waker};
+
+/// Where the clock begins: long after anything that a process begins with.
+const START: Ms = 100_000;
+
+#[derive(Default)]
+struct State {
+    now: Ms,
+    next: u64,
+    timers: BTreeMap<u64, Ms>,
+    tasks: Vec<Fut<'static, ()>>,
+}
+
+#[derive(Clone, Default)]
+pub struct Virtual(Arc<Mutex<State>>);
+
+impl World for Virtual {
+    fn now(&self) -> Ms {
+        self.0.lock().unwrap().now + START
+    }
+    fn wall_ms(&self) -> u64 {
+        self.now()
+    }
+    fn incarnation(&self) -> u64 {
+        1
+    }
+    /// Nothing is woken: all is polled whenever the clock has moved.
+    fn wake_at(&self, at: Ms, _: Waker) -> u64 {
+        let mut state = self.0.lock().unwrap();
+        state.next += 1;
+        let timer = state.next;
+        state.timers.insert(timer, at);
+        timer
+    }
+    fn cancel(&self, timer: u64) {
+        self.0.lock().unwrap().timers.remove(&timer);
+    }
+    fn spawn(&self, task: Fut<'static, ()>) {
+        self.0.lock().unwrap().tasks.push(task);
+    }
+    fn open(&self, _: &str, _: OnBreak) -> Fut<'static, io::Result<Arc<dyn Pipe>>> {
+        Box::pin(async { Err(io::ErrorKind::ConnectionRefused.into()) })
+    }
+    fn call(&self, _: &str, _: Vec<u8>) -> Fut<'static, io::Result<Vec<u8>>> {
+        Box::pin(async { Err(io::ErrorKind::ConnectionRefused.into()) })
+    }
+    fn broken(&self, _: &str) -> bool {
+        false
+    }
+    fn point(&self, _: &str) {}
+}
+
+impl Virtual {
+    pub fn enter<T>(&self, work: impl FnOnce() -> T) -> T {
+        within(Arc::new(self.clone()), work)
+    }
+    /// Runs the future to its end, or drops it once it waits and `cancel` says so.
+    pub fn run<T>(&self, future: impl Future<Output = T>, cancel: impl Fn() -> bool) -> Option<T> {
+        self.enter(|| {
+            let mut future: Pin<Box<dyn Future<Output = T> + '_>> = Box::pin(future);
+            loop {
+                if let Poll::Ready(value) = future.as_mut().poll(&mut Context::from_waker(Waker::noop())) {
+                    return Some(value);
+                }
+                self.poll_tasks();
+                if cancel() {
+                    return None;
+                }
+                assert!(self.advance(), "all wait and no timer is set");
+            }
+        })
+    }
+    fn poll_tasks(&self) {
+        let tasks = std::mem::take(&mut self.0.lock().unwrap().tasks);
+        for mut task in tasks {
+            if task.as_mut().poll(&mut Context::from_waker(Waker::noop())).is_pending() {
+                self.0.lock().unwrap().tasks.push(task);
+            }
+        }
+    }
+    /// Moves the clock to the next timer.
+    fn advance(&self) -> bool {
+        let mut state = self.0.lock().unwrap();
+        let Some((&timer, &at)) = state.timers.iter().min_by_key(|(_, at)| **at) else { return false };
+        state.timers.remove(&timer);
+        state.now = state.now.max(at.saturating_sub(START));
+        true
+    }
+}
