--- a/crates/qh-state/src/lib.rs
+++ b/crates/qh-state/src/lib.rs
@@ -1,5 +1,6 @@
 //! The state every process shares: chain, view register, leases, store, feed (§5).
 mod ack_level;
+mod calls;
 mod chain;
 mod contact;
 mod discovery;
