--- a/crates/qh-lab/src/capacity/hollow.rs
+++ b/crates/qh-lab/src/capacity/hollow.rs
@@ -4,6 +4,7 @@
 use super::{COPIES, blueprint, resident_kib, settings, standing, this_thread, used_ms};
 use qh_core::{Name, now, rt};
 use qh_state::disk::Disk;
+use qh_state::host::KeeperHost;
 use qh_state::{Command, Keeper, Machine, View, driver};
 use qhd::chainc::Chain;
 use qhd::{Fleet, meshd};
@@ -44,7 +45,13 @@
             let Ok((disk, found)) = Disk::open(&dir, &name, Some(view)) else { return };
             let Ok(lst) = TcpListener::from_std(lst) else { return };
             let (_stop, stopped) = tokio::sync::watch::channel(false);
-            let _ = driver::run(Keeper::new(name.as_str().into(), now(), found), disk, lst, stopped).await;
+            let me = Name::from(name.as_str());
+            let host = KeeperHost::new(
+                found,
+                now(),
+                Box::new(move |state, now| Keeper::new(me.clone(), now, state)),
+            );
+            let _ = driver::run(host, disk, lst, stopped).await;
         });
     });
     rx.recv().unwrap_or_default()
--- a/crates/qh-lab/src/capacity/tail.rs
+++ b/crates/qh-lab/src/capacity/tail.rs
@@ -1,7 +1,9 @@
 //! A tail alone before the polls of many nodes, in virtual time: its processor time and its answers' bytes (§5.2).
 use super::{cost, names, standing};
 use qh_core::Name;
+use qh_state::entry_log::{EntryLog, PackedEntry};
 use qh_state::keeper::{Input, Output, RecoveredState};
+use qh_state::terms::TRANSFER_BYTES;
 use qh_state::{
     Command, Entry, Keeper, KeeperRequest, KeeperResponse, Machine, PeerMessage, Reply, Request, View,
 };
@@ -166,14 +168,16 @@
     (ms, bytes as f64)
 }
 
-/// `n` adopted configurations of `groups` databases from one keeper to the next, in one frame.
+/// The first message in which `n` adopted configurations of `groups` databases go from one keeper to the next.
 pub fn passed_bytes(groups: usize, n: u64) -> usize {
     let one = |n| {
         let (text, source) = (super::blueprint(groups, n), super::blueprint(groups, n));
         let cmd = Command::Adopt { number: n, text, source, by: "operator".into() };
         Entry { n, key: format!("adopt/{n}/{:016x}", 1).into(), cmd }
     };
-    let entries = (1..=n).map(one).collect();
+    let mut log = EntryLog::default();
+    (1..=n).for_each(|n| log.push_back(PackedEntry::of(&one(n))));
+    let entries = log.after(0, TRANSFER_BYTES).unwrap_or_default();
     let m = PeerMessage::Pass { version: 1, prev: 0, entries, end: n };
     borsh::to_vec(&KeeperRequest::Peer { from: "k0".into(), m }).map_or(0, |b| b.len() + 4)
 }
--- a/crates/qh-lab/src/sim/keeper.rs
+++ b/crates/qh-lab/src/sim/keeper.rs
@@ -4,7 +4,7 @@
 use qh_core::{Ms, Name, now, rt};
 use qh_state::keeper::{Input, Output, Record, RecoveredState};
 use qh_state::patch::Packed;
-use qh_state::{FeedSnapshot, Keeper, KeeperRequest, KeeperResponse, Reply, Request, terms::LOG_KEEP};
+use qh_state::{FeedSnapshot, Keeper, KeeperRequest, KeeperResponse, Reply, Request};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -102,12 +102,9 @@
         }
         // The bug: entries are called synced and are not.
         Record::Entry { .. } if forgets => {}
-        Record::Entry { e } => {
-            d.store.apply(e);
-            d.log.push_back(e.clone());
-            if d.log.len() > LOG_KEEP {
-                d.log.pop_front();
-            }
+        Record::Entry { entry } => {
+            d.store.apply(&entry.unpack().expect("an entry that was packed here"));
+            d.log.push_back(entry.clone());
         }
     }
 }
--- a/crates/qh-state/src/chain.rs
+++ b/crates/qh-state/src/chain.rs
@@ -1,8 +1,10 @@
 //! Replication along the chain: passing entries down, acknowledging up, catching up (§5.2, §5.3).
+use crate::entry_log::PackedEntry;
 use crate::keeper::{Keeper, Output, Record};
 use crate::messages::{Answer, Command, Entry, PeerMessage, View};
+use crate::snapshot::{OutgoingSnapshot, SnapshotPart, SnapshotProgress};
 use crate::store::Store;
-use crate::terms::{LOG_KEEP, NODE_LEASE, VIEW_LEASE, outlast};
+use crate::terms::{NODE_LEASE, TRANSFER_BYTES, VIEW_LEASE, outlast};
 use qh_core::{ChangeNo, Ms, Name, Version};
 
 impl Keeper {
@@ -17,6 +19,7 @@
         self.view = v;
         self.view_since = self.now;
         self.out.push(Output::Persist(Record::View { view: self.view.clone() }));
+        self.outgoing_snapshot = None;
         self.sent.clear();
         self.grants.clear();
         self.lease_until = 0;
@@ -33,8 +36,7 @@
                 self.leases.take().filter(|_| whole && self.view.tail() == self.view.neighbour(&self.me, 1));
         }
         if let Some(p) = self.view.neighbour(&self.me, -1).cloned() {
-            let need = PeerMessage::Need { version: self.view.version, n: self.store.n };
-            self.send(&p, need);
+            self.request_next(&p);
         }
     }
 
@@ -42,8 +44,8 @@
         PeerMessage::Ack { version: self.view.version, committed: self.committed, in_force: self.in_force }
     }
 
-    pub(crate) fn append(&mut self, e: Entry) -> Option<Answer> {
-        let (a, news) = self.store.apply_told(&e)?;
+    pub(crate) fn append(&mut self, e: &Entry, packed: PackedEntry) -> Option<Answer> {
+        let (a, news) = self.store.apply_told(e)?;
         if let Command::Dismiss { node, .. } = &e.cmd
             && !self.store.nodes.contains_key(node)
         {
@@ -52,38 +54,44 @@
             self.dismissed_leases.insert(node.clone(), now + outlast(NODE_LEASE));
         }
         self.record_change(e.n, news);
-        self.out.push(Output::Persist(Record::Entry { e: e.clone() }));
-        self.log.push_back(e);
-        if self.log.len() > LOG_KEEP {
-            self.log.pop_front();
-        }
+        self.out.push(Output::Persist(Record::Entry { entry: packed.clone() }));
+        self.log.push_back(packed);
         Some(a)
     }
 
-    /// Entries after `n`, if the log still has them.
-    pub(crate) fn after(&self, n: ChangeNo) -> Option<Vec<Entry>> {
+    /// The next entries after `n`, as many as go into a message, if the log still has them.
+    pub(crate) fn after(&self, n: ChangeNo) -> Option<Vec<PackedEntry>> {
         if n >= self.store.n {
             return Some(Vec::new());
         }
-        let first = self.log.front().map(|e| e.n)?;
-        (first <= n + 1).then(|| self.log.iter().filter(|e| e.n > n).cloned().collect())
+        self.log.after(n, TRANSFER_BYTES)
     }
 
-    pub(crate) fn pass(&mut self, from: &Name, ed: Version, prev: ChangeNo, es: Vec<Entry>, end: ChangeNo) {
+    pub(crate) fn pass(
+        &mut self,
+        from: &Name,
+        ed: Version,
+        prev: ChangeNo,
+        es: Vec<PackedEntry>,
+        end: ChangeNo,
+    ) {
         if ed != self.view.version || self.view.neighbour(&self.me, -1) != Some(from) {
             return;
         }
         if prev > self.store.n {
-            let need = PeerMessage::Need { version: ed, n: self.store.n };
-            return self.send(from, need);
+            return self.request_next(from);
         }
         let had = self.store.n;
-        for e in es {
-            self.append(e);
+        for packed in es {
+            if let Some(entry) = packed.unpack() {
+                self.append(&entry, packed);
+            }
         }
         if self.store.n >= end {
             self.joined = true;
             self.set_catching_up(false);
+        } else if self.store.n > had {
+            self.request_next(from);
         }
         if self.store.n > had {
             self.pass_on(had);
@@ -100,13 +108,13 @@
         }
     }
 
-    pub(crate) fn need(&mut self, from: &Name, ed: Version, n: ChangeNo) {
+    pub(crate) fn need(&mut self, from: &Name, ed: Version, n: ChangeNo, progress: SnapshotProgress) {
         if ed != self.view.version || self.view.neighbour(&self.me, 1) != Some(from) {
             return;
         }
         let m = match self.after(n) {
             Some(entries) => PeerMessage::Pass { version: ed, prev: n, entries, end: self.store.n },
-            None => self.snapshot_message(false),
+            None => self.snapshot_message(false, progress),
         };
         self.send(from, m);
         if let Some(g) = &self.granted {
@@ -128,37 +136,65 @@
         }
     }
 
-    fn snapshot_message(&self, join: bool) -> PeerMessage {
+    /// Asks the forerunner for what comes next.
+    pub(crate) fn request_next(&mut self, from: &Name) {
+        let progress = self.incoming_snapshot.progress(from);
+        let need = PeerMessage::Need { version: self.view.version, n: self.store.n, progress };
+        self.send(from, need);
+    }
+
+    /// The next part of a snapshot; an older one is sent to its end as long as the log follows on it.
+    fn snapshot_message(&mut self, join: bool, progress: SnapshotProgress) -> PeerMessage {
+        let (log, n) = (&self.log, self.store.n);
+        let follows = |sent: &OutgoingSnapshot| sent.n() == n || log.reaches_back_to(sent.n());
+        let snapshot = match self.outgoing_snapshot.take().filter(follows) {
+            Some(sent) => sent,
+            None => OutgoingSnapshot::of(&self.store),
+        };
+        let part = self.outgoing_snapshot.insert(snapshot).part_after(progress);
         let left = |until: &Ms| until.saturating_sub(self.now);
         let dismissed_leases =
             self.dismissed_leases.iter().map(|(n, until)| (n.clone(), left(until))).collect();
-        let (version, store) = (self.view.version, Box::new(self.store.clone()));
-        PeerMessage::Snapshot {
-            version,
-            store,
-            join,
-            dismissed_leases,
-            unknown_leases: left(&self.unknown_leases_until),
-        }
+        let (version, unknown_leases) = (self.view.version, left(&self.unknown_leases_until));
+        PeerMessage::Snapshot { version, part, join, dismissed_leases, unknown_leases }
     }
 
-    pub(crate) fn fetch(&mut self, from: &Name, _ed: Version) {
+    pub(crate) fn fetch(&mut self, from: &Name, _ed: Version, progress: SnapshotProgress) {
         if self.serving() && !self.view.has(from) {
-            let m = self.snapshot_message(true);
+            let m = self.snapshot_message(true, progress);
             self.send(from, m);
         }
     }
 
-    /// The whole store from the tail (to join) or from my forerunner (its log did not reach back to me). Was it taken?
-    pub(crate) fn install_snapshot(&mut self, from: &Name, ed: Version, store: Store, join: bool) -> bool {
+    /// Part of the whole store, from the tail (to join) or from my forerunner (its log did not reach back to me). Was
+    /// the store taken?
+    pub(crate) fn take_snapshot_part(
+        &mut self,
+        from: &Name,
+        ed: Version,
+        part: SnapshotPart,
+        join: bool,
+    ) -> bool {
         if ed != self.view.version {
             return false;
         }
         let member = self.view.has(&self.me);
         let takes = if join { !member } else { member && self.view.neighbour(&self.me, -1) == Some(from) };
-        if !takes || (!join && store.n <= self.store.n) {
+        if !takes || (!join && part.id.n <= self.store.n) || !self.incoming_snapshot.take(from, part) {
             return false;
         }
+        if let Some(store) = self.incoming_snapshot.finish() {
+            self.install_snapshot(store, join);
+            return true;
+        }
+        match join {
+            true => self.fetch_next(from),
+            false => self.request_next(from),
+        }
+        false
+    }
+
+    fn install_snapshot(&mut self, store: Store, join: bool) {
         self.store = store;
         self.log.clear();
         self.news.clear();
@@ -171,12 +207,19 @@
             want.members.push(self.me.clone());
             self.set_catching_up(true);
             self.propose(want);
-        } else {
-            self.joined = true;
-            self.set_catching_up(false);
-            self.pass_on(self.store.n);
+            return;
         }
-        true
+        self.joined = true;
+        self.set_catching_up(false);
+        self.pass_on(self.store.n);
+    }
+
+    /// Asks the tail for the next part of its store.
+    pub(crate) fn fetch_next(&mut self, tail: &Name) {
+        self.fetched = self.now;
+        let progress = self.incoming_snapshot.progress(tail);
+        let m = PeerMessage::Fetch { version: self.view.version, progress };
+        self.send(tail, m);
     }
 
     fn set_catching_up(&mut self, yes: bool) {
--- a/crates/qh-state/src/disk.rs
+++ b/crates/qh-state/src/disk.rs
@@ -1,46 +1,27 @@
-//! The keeper's data folder: one redb file, every value under its own sum (§5.7).
-use crate::keeper::{Record, RecoveredState};
-use crate::messages::{Entry, View};
+//! The keeper's data folder: one redb file, every value under its own checksum (§5.7).
+use crate::disk_port::{DiskLimits, DiskPort, DiskUsage};
+use crate::disk_records::{self as records, Rows, broken, read_error, unusable};
+use crate::messages::View;
+use crate::step::{Record, RecoveredState};
 use crate::store::Store;
-use crate::terms::{LOG_KEEP, SNAP_EVERY};
-use borsh::{BorshDeserialize, BorshSerialize};
-use qh_core::{Code, Error, hash64};
-use redb::{Database, Durability, ReadableDatabase, ReadableTable, TableDefinition};
-use std::path::Path;
+use qh_core::Error;
+use redb::{Database, Durability, ReadableDatabase, WriteTransaction};
+use std::path::{Path, PathBuf};
 
 /// Memory for pages: the store is in memory anyhow.
 const CACHE: usize = 1 << 20;
-
-const META: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
 const FILE: &str = "keeper.redb";
-const LOG: TableDefinition<u64, &[u8]> = TableDefinition::new("log");
+/// Name of the file until it is whole.
+const UNFINISHED_FILE: &str = "keeper.half";
 
 pub struct Disk {
-    db: Database,
-    since: u64,
-}
-
-fn broke(e: impl std::fmt::Display) -> Error {
-    Code::DiskBroke.because(e)
-}
-fn folder(e: impl std::fmt::Display) -> Error {
-    Code::DataFolder.because(e)
-}
-
-fn wrap<T: BorshSerialize>(v: &T) -> Vec<u8> {
-    let body = borsh::to_vec(v).unwrap_or_default();
-    let mut out = hash64(&[&body]).to_le_bytes().to_vec();
-    out.extend_from_slice(&body);
-    out
-}
-
-fn unwrap<T: BorshDeserialize>(what: &str, b: &[u8]) -> Result<T, Error> {
-    let hurt = || folder(format_args!("the record {what} is damaged"));
-    let (sum, body) = b.split_at_checked(8).ok_or_else(hurt)?;
-    if hash64(&[body]).to_le_bytes() != sum {
-        return Err(hurt());
-    }
-    borsh::from_slice(body).map_err(|_| hurt())
+    file: PathBuf,
+    /// Closed after an error, until [`Disk::recover`].
+    db: Option<Database>,
+    limits: DiskLimits,
+    rows: Rows,
+    /// Length of the file after it was compacted last.
+    compacted: u64,
 }
 
 impl Disk {
@@ -51,13 +32,13 @@
         let is_new = !file.exists();
         match (&first, is_new) {
             (None, true) => {
-                return Err(folder(format_args!(
+                return Err(unusable(format_args!(
                     "{} holds no data of a keeper; --init is for the first start of all, --join for a new machine",
                     dir.display()
                 )));
             }
             (Some(_), false) => {
-                return Err(folder(format_args!(
+                return Err(unusable(format_args!(
                     "{} holds data already; start without --init",
                     dir.display()
                 )));
@@ -67,11 +48,11 @@
         if let Some(view) = first {
             return Self::make(dir, name, view);
         }
-        let (whose, disk, found) = Self::at(&file)?;
-        if whose != name {
-            return Err(folder(format_args!("it belongs to the keeper {whose:?}, not to {name:?}")));
+        let (owner, disk, state) = Self::at(&file)?;
+        if owner != name {
+            return Err(unusable(format_args!("it belongs to the keeper {owner:?}, not to {name:?}")));
         }
-        Ok((disk, found))
+        Ok((disk, state))
     }
 
     /// What the folder holds, if anything was ever kept there: the keeper's name is in it (§5.9).
@@ -83,110 +64,120 @@
     /// Makes the folder of a new keeper. The file has its name only once all of it is synced: what a kill left
     /// half made is begun anew, as nobody has heard of that keeper yet.
     pub fn make(dir: &Path, name: &str, view: View) -> Result<(Self, RecoveredState), Error> {
-        let (half, file) = (dir.join("keeper.half"), dir.join(FILE));
-        std::fs::create_dir_all(dir).map_err(folder)?;
-        if half.exists() {
-            std::fs::remove_file(&half).map_err(folder)?;
+        let (unfinished, file) = (dir.join(UNFINISHED_FILE), dir.join(FILE));
+        std::fs::create_dir_all(dir).map_err(broken)?;
+        if unfinished.exists() {
+            std::fs::remove_file(&unfinished).map_err(broken)?;
         }
-        let db = Database::builder().set_cache_size(CACHE).create(&half).map_err(folder)?;
-        let mut d = Self { db, since: 0 };
-        d.put("name", &name.to_owned())?;
-        d.save(&[Record::View { view }])?;
-        drop(d);
-        std::fs::rename(&half, &file).and_then(|()| std::fs::File::open(dir)?.sync_all()).map_err(folder)?;
-        Self::at(&file).map(|(_, d, f)| (d, f))
+        let db = Database::builder().set_cache_size(CACHE).create(&unfinished).map_err(broken)?;
+        let mut disk = Self::with(&unfinished, Some(db));
+        disk.write(|tx| records::write_name(tx, name))?;
+        disk.save(&[Record::View { view }])?;
+        drop(disk);
+        std::fs::rename(&unfinished, &file)
+            .and_then(|()| std::fs::File::open(dir)?.sync_all())
+            .map_err(broken)?;
+        Self::at(&file).map(|(_, disk, state)| (disk, state))
+    }
+
+    /// The size that the folder may take.
+    pub fn allowing(mut self, bytes: u64) -> Self {
+        self.limits = DiskLimits::for_allowed(bytes);
+        self
+    }
+
+    fn with(file: &Path, db: Option<Database>) -> Self {
+        let (limits, rows) = (DiskLimits::default(), Rows::default());
+        Self { file: file.to_owned(), db, limits, rows, compacted: 0 }
     }
 
     fn at(file: &Path) -> Result<(String, Self, RecoveredState), Error> {
-        let open = Database::builder().set_cache_size(CACHE).open(file);
-        let db = open.map_err(|e| folder(format_args!("{}: {e}", file.display())))?;
-        let d = Self { db, since: 0 };
-        let (name, found) = d.load()?;
-        Ok((name, d, found))
+        let mut disk = Self::with(file, None);
+        let (name, state) = disk.reopen()?;
+        Ok((name, disk, state))
     }
 
-    fn put<T: BorshSerialize>(&self, k: &str, v: &T) -> Result<(), Error> {
-        let tx = self.db.begin_write().map_err(broke)?;
-        tx.open_table(META).map_err(broke)?.insert(k, wrap(v).as_slice()).map_err(broke)?;
-        tx.commit().map_err(broke)
+    fn reopen(&mut self) -> Result<(String, RecoveredState), Error> {
+        self.db = None;
+        let opened = Database::builder().set_cache_size(CACHE).open(&self.file);
+        let db = opened.map_err(|e| read_error(&self.file.display(), e))?;
+        let tx = db.begin_read().map_err(broken)?;
+        let (name, state, rows) = records::load(&tx)?;
+        drop(tx);
+        self.db = Some(db);
+        self.rows = rows;
+        Ok((name, state))
     }
 
-    fn load(&self) -> Result<(String, RecoveredState), Error> {
-        let tx = self.db.begin_read().map_err(broke)?;
-        let meta = tx.open_table(META).map_err(folder)?;
-        let get = |k: &str| meta.get(k).map_err(folder).map(|v| v.map(|g| g.value().to_vec()));
-        let whose: String = get("name")?.map_or(Ok(String::new()), |b| unwrap("name", &b))?;
-        let mut f = RecoveredState {
-            acceptor: get("acceptor")?.map_or(Ok(Default::default()), |b| unwrap("acceptor", &b))?,
-            view: get("view")?.map_or(Ok(Default::default()), |b| unwrap("view", &b))?,
-            store: get("whole")?.map_or(Ok(Store::default()), |b| unwrap("whole", &b))?,
-            log: Default::default(),
-            catching_up: get("newcomer")?.map_or(Ok(false), |b| unwrap("newcomer", &b))?,
-            served: get("served")?.map_or(Ok(0), |b| unwrap("served", &b))?,
-        };
-        if let Ok(log) = tx.open_table(LOG) {
-            for row in log.iter().map_err(folder)? {
-                let (n, b) = row.map_err(folder)?;
-                let e: Entry = unwrap(&format!("log {}", n.value()), b.value())?;
-                if e.n > f.store.n && f.store.apply(&e).is_none() {
-                    return Err(folder(format_args!("the log has a gap before {}", e.n)));
-                }
-                f.log.push_back(e);
-            }
-        }
-        Ok((whose, f))
+    /// One transaction, durable when it returns.
+    fn write(&mut self, fill: impl FnOnce(&WriteTransaction) -> Result<(), Error>) -> Result<(), Error> {
+        let db = self.db.as_ref().ok_or_else(|| broken("the file is not open"))?;
+        let mut tx = db.begin_write().map_err(broken)?;
+        tx.set_durability(Durability::Immediate).map_err(broken)?;
+        fill(&tx)?;
+        tx.commit().map_err(broken)
     }
 
-    /// Syncs the records in one transaction; when it fails the keeper must stop.
-    pub fn save(&mut self, recs: &[Record]) -> Result<(), Error> {
-        if recs.is_empty() {
+    /// Writes the store whole, and drops entries that the limits leave no room for.
+    fn replace_snapshot(&mut self, store: &Store) -> Result<(), Error> {
+        let first_kept = self.rows.cut(&self.limits).unwrap_or(store.n + 1);
+        self.write(|tx| records::write_snapshot(tx, store, first_kept))
+    }
+
+    /// Hands the free part of the file back to the file system.
+    fn shrink_file(&mut self) -> Result<(), Error> {
+        let length = self.usage().used;
+        if length <= self.limits.compact_above || length < 2 * self.compacted {
             return Ok(());
         }
-        let mut tx = self.db.begin_write().map_err(broke)?;
-        tx.set_durability(Durability::Immediate).map_err(broke)?;
-        {
-            let mut meta = tx.open_table(META).map_err(broke)?;
-            let mut log = tx.open_table(LOG).map_err(broke)?;
-            for r in recs {
-                match r {
-                    Record::Acceptor { acceptor } => {
-                        drop(meta.insert("acceptor", wrap(acceptor).as_slice()).map_err(broke)?)
-                    }
-                    Record::View { view } => drop(meta.insert("view", wrap(view).as_slice()).map_err(broke)?),
-                    Record::CatchingUp { yes } => {
-                        drop(meta.insert("newcomer", wrap(yes).as_slice()).map_err(broke)?)
-                    }
-                    Record::Served { version } => {
-                        drop(meta.insert("served", wrap(version).as_slice()).map_err(broke)?)
-                    }
-                    Record::Snapshot { store } => {
-                        meta.insert("whole", wrap(store.as_ref()).as_slice()).map_err(broke)?;
-                        log.retain(|_, _| false).map_err(broke)?;
-                    }
-                    Record::Entry { e } => {
-                        log.insert(e.n, wrap(e).as_slice()).map_err(broke)?;
-                        self.since += 1;
-                    }
-                }
-            }
-        }
-        tx.commit().map_err(broke)
+        let db = self.db.as_mut().ok_or_else(|| broken("the file is not open"))?;
+        db.compact().map_err(broken)?;
+        self.compacted = self.usage().used;
+        Ok(())
     }
+}
 
-    /// Now and then the store is written whole and the log behind it cut short.
-    pub fn compact(&mut self, store: &Store) -> Result<(), Error> {
-        if self.since < SNAP_EVERY {
+impl DiskPort for Disk {
+    fn save(&mut self, saved: &[Record]) -> Result<(), Error> {
+        if saved.is_empty() {
             return Ok(());
         }
-        self.since = 0;
-        let low = store.n.saturating_sub(LOG_KEEP as u64);
-        let tx = self.db.begin_write().map_err(broke)?;
-        {
-            let mut meta = tx.open_table(META).map_err(broke)?;
-            meta.insert("whole", wrap(store).as_slice()).map_err(broke)?;
-            let mut log = tx.open_table(LOG).map_err(broke)?;
-            log.retain(|n, _| n > low).map_err(broke)?;
+        self.write(|tx| saved.iter().try_for_each(|record| records::write(tx, record)))?;
+        for record in saved {
+            match record {
+                Record::Entry { entry } => self.rows.push(entry.n, entry.size(), false),
+                Record::Snapshot { .. } => self.rows = Rows::default(),
+                _ => {}
+            }
         }
-        tx.commit().map_err(broke)
+        Ok(())
+    }
+
+    fn is_snapshot_due(&self) -> bool {
+        self.rows.is_snapshot_due(&self.limits)
+    }
+
+    fn write_snapshot(&mut self, store: &Store) -> Result<(), Error> {
+        self.replace_snapshot(store)?;
+        self.shrink_file()
+    }
+
+    /// What a failed sync left in the system's page cache may not be on the disk: all of it is written again.
+    fn recover(&mut self) -> Result<RecoveredState, Error> {
+        let (_, state) = self.reopen()?;
+        let small = [
+            Record::Acceptor { acceptor: state.acceptor.clone() },
+            Record::View { view: state.view.clone() },
+            Record::Served { version: state.served },
+            Record::CatchingUp { yes: state.catching_up },
+        ];
+        self.save(&small)?;
+        self.replace_snapshot(&state.store)?;
+        Ok(state)
+    }
+
+    fn usage(&self) -> DiskUsage {
+        let used = std::fs::metadata(&self.file).map_or(0, |m| m.len());
+        DiskUsage { used, allowed: self.limits.allowed }
     }
 }
--- a/crates/qh-state/src/driver.rs
+++ b/crates/qh-state/src/driver.rs
@@ -1,144 +1,223 @@
-//! Runs a [`Keeper`] under tokio: the same steps the simulator runs, with a real disk and wire (§5.1).
-use crate::disk::Disk;
-use crate::keeper::{Input, Keeper, Output, Record};
-use crate::messages::{KeeperRequest, KeeperResponse, PeerMessage, Reply};
-use qh_core::wire::{Caller, answer};
-use qh_core::{Code, Error, Name, now};
+//! Runs a [`KeeperHost`] under tokio: the same steps the simulator runs, with a real disk and wire (§5.1).
+use crate::disk_port::DiskPort;
+use crate::host::{Batch, KeeperHost};
+use crate::messages::{KeeperRequest, KeeperResponse, Reply, Request};
+use crate::peers::Peers;
+use crate::step::{Input, Output};
+use qh_core::wire::answer;
+use qh_core::{Code, Error, now};
 use std::collections::HashMap;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinHandle;
 
-type Door = (Input, Option<oneshot::Sender<Reply>>);
-
-/// Messages that may wait for one peer; the oldest is dropped first, the protocol sends again.
-const PEER_HOLD: usize = 256;
+/// Links that others may have open to this keeper.
 const LINKS: usize = 512;
+/// Messages that may wait for the keeper.
+const WAITING_MAX: usize = 1_024;
 /// Steps that share one sync.
-const TOGETHER: usize = 64;
-
-struct Peers {
-    me: Name,
-    to: HashMap<Name, mpsc::Sender<PeerMessage>>,
-}
-
-impl Peers {
-    fn send(&mut self, addr: Name, m: PeerMessage) {
-        let me = self.me.clone();
-        let tx = self.to.entry(addr.clone()).or_insert_with(|| {
-            let (tx, mut rx) = mpsc::channel::<PeerMessage>(PEER_HOLD);
-            tokio::spawn(async move {
-                let c = Caller::default();
-                while let Some(m) = rx.recv().await {
-                    let k = KeeperRequest::Peer { from: me.clone(), m };
-                    let _ = c.call::<_, KeeperResponse>(&addr, &k, Duration::from_millis(500)).await;
-                }
-            });
-            tx
-        });
-        let _ = tx.try_send(m);
-    }
-}
+const STEPS_PER_SYNC: usize = 64;
+const TICK: Duration = Duration::from_millis(20);
+/// A write that lasts longer is a stall: requests are declined until it ends.
+const STALL: Duration = Duration::from_millis(500);
 
 /// What a keeper is told by the process it runs in.
 pub type Inputs = mpsc::Receiver<Input>;
 
-/// Serves until `stop` fires or the disk breaks.
-pub async fn run(
-    k: Keeper,
-    disk: Disk,
-    lst: TcpListener,
-    stop: tokio::sync::watch::Receiver<bool>,
+/// A message that came in; a request has somebody who waits for the reply.
+enum Incoming {
+    Peer(Input),
+    Request(Request, oneshot::Sender<Reply>),
+}
+
+/// Serves until `stop` fires.
+pub async fn run<D: DiskPort>(
+    host: KeeperHost,
+    disk: D,
+    listener: TcpListener,
+    stop: watch::Receiver<bool>,
 ) -> Result<(), Error> {
     let (_none, told) = mpsc::channel(1);
-    run_told(k, disk, lst, stop, told).await
+    run_told(host, disk, listener, stop, told).await
 }
 
-/// Syncs on this thread; other tasks go on meanwhile where there are threads for them.
-fn blocking<T>(f: impl FnOnce() -> T) -> T {
-    match tokio::runtime::Handle::current().runtime_flavor() {
-        tokio::runtime::RuntimeFlavor::CurrentThread => f(),
-        _ => tokio::task::block_in_place(f),
+pub async fn run_told<D: DiskPort>(
+    host: KeeperHost,
+    disk: D,
+    listener: TcpListener,
+    mut stop: watch::Receiver<bool>,
+    mut told: Inputs,
+) -> Result<(), Error> {
+    let (queue, mut incoming) = mpsc::channel(WAITING_MAX);
+    let accept = accept(listener, queue.clone());
+    let mut driver = Driver::new(host, disk);
+    let mut tick = tokio::time::interval(TICK);
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        let mut batch = Batch::default();
+        tokio::select! {
+            _ = stop.changed() => break,
+            _ = tick.tick() => driver.step(Input::Tick, &mut batch),
+            Some(input) = told.recv() => driver.step(input, &mut batch),
+            Some(message) = incoming.recv() => driver.admit(message, &mut batch),
+        }
+        // All that has come meanwhile goes to the disk with it: one sync for many.
+        for _ in 0..STEPS_PER_SYNC {
+            let Ok(message) = incoming.try_recv() else { break };
+            driver.admit(message, &mut batch);
+        }
+        driver.commit(batch, &mut incoming).await?;
+        driver.probe(&mut incoming).await?;
     }
+    accept.abort();
+    Ok(())
 }
 
-pub async fn run_told(
-    mut k: Keeper,
-    mut disk: Disk,
-    lst: TcpListener,
-    mut stop: tokio::sync::watch::Receiver<bool>,
-    mut told: Inputs,
-) -> Result<(), Error> {
-    let (tx, mut rx) = mpsc::channel::<Door>(1024);
-    let door = tx.clone();
-    let accept = tokio::spawn(answer(lst, LINKS, move |k: KeeperRequest| {
-        let door = door.clone();
+/// Takes messages off the wire into the queue.
+fn accept(listener: TcpListener, queue: mpsc::Sender<Incoming>) -> JoinHandle<()> {
+    tokio::spawn(answer(listener, LINKS, move |request: KeeperRequest| {
+        let queue = queue.clone();
         async move {
-            match k {
+            match request {
                 KeeperRequest::Peer { from, m } => {
-                    let _ = door.send((Input::Peer { from, m }, None)).await;
+                    let _ = queue.send(Incoming::Peer(Input::Peer { from, m })).await;
                     KeeperResponse::Taken
                 }
                 KeeperRequest::Node { ask } => {
-                    let (t, r) = oneshot::channel();
-                    let _ = door.send((Input::Request { token: 0, ask }, Some(t))).await;
-                    let gone = || Reply::Declined { why: Code::ChainDown.because("the keeper is stopping") };
-                    KeeperResponse::Reply { rep: r.await.unwrap_or_else(|_| gone()) }
+                    let (reply, replied) = oneshot::channel();
+                    let _ = queue.send(Incoming::Request(ask, reply)).await;
+                    let stopping =
+                        || Reply::Declined { why: Code::ChainDown.because("the keeper is stopping") };
+                    KeeperResponse::Reply { rep: replied.await.unwrap_or_else(|_| stopping()) }
                 }
             }
         }
-    }));
-    let mut peers = Peers { me: k.me.clone(), to: HashMap::new() };
-    let mut waits: HashMap<u64, oneshot::Sender<Reply>> = HashMap::new();
-    let mut token = 0;
-    let mut tick = tokio::time::interval(Duration::from_millis(20));
-    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    loop {
-        let mut numbered = |(i, t): Door| match (i, t) {
-            (Input::Request { ask, .. }, Some(t)) => {
-                token += 1;
-                waits.insert(token, t);
-                Input::Request { token, ask }
+    }))
+}
+
+struct Driver<D> {
+    host: KeeperHost,
+    /// Away while a write is under way.
+    disk: Option<D>,
+    peers: Peers,
+    waiting: HashMap<u64, oneshot::Sender<Reply>>,
+    last_token: u64,
+}
+
+impl<D: DiskPort> Driver<D> {
+    fn new(mut host: KeeperHost, disk: D) -> Self {
+        host.note_usage(disk.usage());
+        let peers = Peers::new(host.name().clone());
+        Self { host, disk: Some(disk), peers, waiting: HashMap::new(), last_token: 0 }
+    }
+
+    fn step(&mut self, input: Input, batch: &mut Batch) {
+        self.host.step(now(), input, batch);
+    }
+
+    fn admit(&mut self, message: Incoming, batch: &mut Batch) {
+        let input = match message {
+            Incoming::Peer(input) => input,
+            Incoming::Request(ask, reply) => {
+                self.last_token += 1;
+                self.waiting.insert(self.last_token, reply);
+                Input::Request { token: self.last_token, ask }
             }
-            (i, _) => i,
         };
-        let i = tokio::select! {
-            _ = stop.changed() => break,
-            _ = tick.tick() => Input::Tick,
-            Some(i) = told.recv() => i,
-            Some(d) = rx.recv() => numbered(d),
-        };
-        let mut outs = k.step(now(), i);
-        // All that has come meanwhile goes to the disk with it: one sync for many.
-        for _ in 0..TOGETHER {
-            let Ok(d) = rx.try_recv() else { break };
-            outs.extend(k.step(now(), numbered(d)));
+        self.step(input, batch);
+    }
+
+    /// Makes the batch durable, then sends what came out of it.
+    async fn commit(&mut self, batch: Batch, incoming: &mut mpsc::Receiver<Incoming>) -> Result<(), Error> {
+        let mut saved = Ok(());
+        if !batch.records.is_empty() {
+            let records = batch.records.clone();
+            saved = self.on_disk(incoming, move |disk| disk.save(&records)).await?;
+            if saved.is_ok() {
+                saved = self.write_snapshot_if_due(incoming).await?;
+            }
+        }
+        let outputs = self.host.saved(now(), saved, batch);
+        self.deliver(outputs);
+        Ok(())
+    }
+
+    async fn write_snapshot_if_due(
+        &mut self,
+        incoming: &mut mpsc::Receiver<Incoming>,
+    ) -> Result<Result<(), Error>, Error> {
+        if !self.disk.as_ref().is_some_and(D::is_snapshot_due) {
+            return Ok(Ok(()));
+        }
+        let Some(store) = self.host.keeper().map(|keeper| keeper.store.clone()) else { return Ok(Ok(())) };
+        self.on_disk(incoming, move |disk| disk.write_snapshot(&store)).await
+    }
+
+    /// Tries the disk of a suspended keeper when it is time to.
+    async fn probe(&mut self, incoming: &mut mpsc::Receiver<Incoming>) -> Result<(), Error> {
+        if !self.host.is_probe_due(now()) {
+            return Ok(());
         }
-        let recs: Vec<Record> = outs
-            .iter()
-            .filter_map(|o| match o {
-                Output::Persist(r) => Some(r.clone()),
-                _ => None,
-            })
-            .collect();
-        if !recs.is_empty() {
-            blocking(|| disk.save(&recs).and_then(|()| disk.compact(&k.store)))?;
+        let probe = self.on_disk(incoming, D::recover).await?;
+        let batch = self.host.probed(now(), probe);
+        self.commit(batch, incoming).await
+    }
+
+    /// Does the work on a thread of its own. Should it stall, requests are declined meanwhile and peers not heard.
+    async fn on_disk<T: Send + 'static>(
+        &mut self,
+        incoming: &mut mpsc::Receiver<Incoming>,
+        work: impl FnOnce(&mut D) -> T + Send + 'static,
+    ) -> Result<T, Error> {
+        let gone = || Code::DiskBroke.because("the writing thread has ended");
+        let mut disk = self.disk.take().ok_or_else(gone)?;
+        let mut task = tokio::task::spawn_blocking(move || {
+            let result = work(&mut disk);
+            (disk, result)
+        });
+        let stall = tokio::time::sleep(STALL);
+        tokio::pin!(stall);
+        let mut is_stalled = false;
+        let (disk, result) = loop {
+            tokio::select! {
+                done = &mut task => break done.map_err(|_| gone())?,
+                () = &mut stall, if !is_stalled => {
+                    is_stalled = true;
+                    log::warn!(target: "chain", "the disk has not answered for {} ms", STALL.as_millis());
+                    let declined = self.host.decline_pending();
+                    self.deliver(declined);
+                }
+                Some(message) = incoming.recv(), if is_stalled => self.turn_away(message),
+            }
+        };
+        self.host.note_usage(disk.usage());
+        self.disk = Some(disk);
+        Ok(result)
+    }
+
+    fn turn_away(&self, message: Incoming) {
+        if let Incoming::Request(request, reply) = message {
+            let _ = reply.send(self.host.refuse(&request));
         }
-        for o in outs {
-            match o {
+    }
+
+    fn deliver(&mut self, outputs: Vec<Output>) {
+        for output in outputs {
+            match output {
                 Output::Persist(_) => {}
-                Output::Send(to, m) => {
-                    if let Some(addr) = k.addr(&to) {
-                        peers.send(addr, m);
+                Output::Send(to, message) => {
+                    if let Some(addr) = self.host.keeper().and_then(|keeper| keeper.addr(&to)) {
+                        self.peers.send(addr, message);
                     }
                 }
-                Output::Reply(t, rep) => {
-                    waits.remove(&t).map(|w| w.send(rep));
+                Output::Reply(token, reply) => {
+                    if let Some(waiting) = self.waiting.remove(&token) {
+                        let _ = waiting.send(reply);
+                    }
                 }
-                Output::Say(s) => log::info!(target: "chain", "{s}"),
+                Output::Say(line) => log::info!(target: "chain", "{line}"),
             }
         }
     }
-    accept.abort();
-    Ok(())
 }
--- /dev/null
+++ b/crates/qh-state/src/entry_log.rs
@@ -0,0 +1,97 @@
+//! The newest entries of the chain, kept packed for members that lag behind; bounded in number and in bytes (§5.7).
+use crate::messages::Entry;
+use crate::packed::PackedBytes;
+use crate::terms::{LOG_BYTES, LOG_KEEP};
+use qh_core::{ChangeNo, messages};
+use std::collections::VecDeque;
+
+messages! {
+    /// An entry, serialised and packed once: so it is kept in memory, written to disk and passed down the chain.
+    #[derive(Eq)]
+    pub struct PackedEntry { pub n: ChangeNo, pub bytes: PackedBytes }
+}
+
+impl PackedEntry {
+    pub fn of(entry: &Entry) -> Self {
+        let bytes = borsh::to_vec(entry).unwrap_or_default();
+        Self { n: entry.n, bytes: PackedBytes::of(bytes) }
+    }
+
+    /// The entry; `None` if the bytes are damaged or hold another number.
+    pub fn unpack(&self) -> Option<Entry> {
+        let bytes = self.bytes.unpack()?;
+        let entry: Entry = borsh::from_slice(&bytes).ok()?;
+        (entry.n == self.n).then_some(entry)
+    }
+
+    pub fn size(&self) -> usize {
+        self.bytes.size()
+    }
+}
+
+/// Consecutive entries up to the newest one. The oldest are dropped when there are more than [`LOG_KEEP`] or they take
+/// more than [`LOG_BYTES`]; the newest always stays.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct EntryLog {
+    entries: VecDeque<PackedEntry>,
+    bytes: usize,
+}
+
+impl EntryLog {
+    pub fn push_back(&mut self, entry: PackedEntry) {
+        self.bytes += entry.size();
+        self.entries.push_back(entry);
+        while self.entries.len() > LOG_KEEP || (self.entries.len() > 1 && self.bytes > LOG_BYTES) {
+            self.pop_front();
+        }
+    }
+
+    pub fn pop_front(&mut self) -> Option<PackedEntry> {
+        let entry = self.entries.pop_front()?;
+        self.bytes -= entry.size();
+        Some(entry)
+    }
+
+    pub fn clear(&mut self) {
+        *self = Self::default();
+    }
+
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Bytes that the packed entries take together.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = &PackedEntry> {
+        self.entries.iter()
+    }
+
+    /// Does the log hold every entry that follows `n`, as far as there are any?
+    pub fn reaches_back_to(&self, n: ChangeNo) -> bool {
+        self.entries.front().is_some_and(|first| first.n <= n + 1)
+    }
+
+    /// The entries that follow `n`, as many as `most` bytes hold but at least one; `None` if they were dropped.
+    pub fn after(&self, n: ChangeNo, most: usize) -> Option<Vec<PackedEntry>> {
+        if !self.reaches_back_to(n) {
+            return None;
+        }
+        let mut taken = Vec::new();
+        let mut bytes = 0;
+        for entry in self.entries.iter().filter(|e| e.n > n) {
+            bytes += entry.size();
+            if bytes > most && !taken.is_empty() {
+                break;
+            }
+            taken.push(entry.clone());
+        }
+        Some(taken)
+    }
+}
--- a/crates/qh-state/src/feed.rs
+++ b/crates/qh-state/src/feed.rs
@@ -4,9 +4,9 @@
 use crate::messages::{Answer, Command, Entry, Reply};
 use crate::patch::{Packed, Patch};
 use crate::store::{Store, stand};
-use crate::terms::LOG_KEEP;
+use crate::terms::{LOG_KEEP, NEWS_BYTES};
 use qh_core::{ChangeNo, Fence, Lead, Ms, Name, ServerRecord, Version, messages};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 messages! {
     /// What one entry altered for nodes.
@@ -88,6 +88,16 @@
     }
 }
 
+impl Change {
+    /// Bytes that a change of a blueprint takes; others are small and bounded by their number.
+    fn size(&self) -> usize {
+        match &self.news {
+            FeedEvent::Blueprint { patch, .. } => patch.size(),
+            _ => 0,
+        }
+    }
+}
+
 impl FeedState {
     pub fn fence(&self, duty: &str) -> Fence {
         self.fences.get(duty).copied().unwrap_or_default()
@@ -144,7 +154,8 @@
 impl Keeper {
     pub(crate) fn record_change(&mut self, n: ChangeNo, news: FeedEvent) {
         self.news.push_back(Change { n, news });
-        if self.news.len() > LOG_KEEP {
+        let size = |changes: &VecDeque<Change>| changes.iter().map(Change::size).sum::<usize>();
+        while self.news.len() > LOG_KEEP || (self.news.len() > 1 && size(&self.news) > NEWS_BYTES) {
             self.news.pop_front();
         }
     }
--- /dev/null
+++ b/crates/qh-state/src/host.rs
@@ -0,0 +1,244 @@
+//! A keeper together with the state of its disk: running, or suspended until the disk takes writes again (§5.7).
+//! Sans-IO: the caller does the writes and tells how they went.
+use crate::disk_port::DiskUsage;
+use crate::keeper::Keeper;
+use crate::messages::{KeeperStatus, Reply, Request, View};
+use crate::step::{Input, Output, Record, RecoveredState};
+use qh_core::{Code, Error, Ms, Name};
+use std::collections::BTreeSet;
+
+/// Time between two attempts to open the folder of a suspended keeper.
+const PROBE_EVERY: Ms = 250;
+/// What clients of a suspended keeper are told to wait.
+const RETRY_AFTER: Ms = 1_000;
+/// What a client whose write was under way is told to wait.
+const RETRY_PENDING: Ms = 500;
+
+/// Makes a keeper of what its disk holds.
+pub type KeeperFactory = Box<dyn Fn(RecoveredState, Ms) -> Keeper + Send>;
+
+/// Why and since when a keeper takes no part in the chain.
+#[derive(Debug)]
+struct Suspension {
+    why: Error,
+    since: Ms,
+    next_probe: Ms,
+    view: View,
+}
+
+enum State {
+    Running(Box<Keeper>),
+    Suspended(Suspension),
+}
+
+/// Outputs of some steps. Nothing of them may leave before `records` are durable.
+#[derive(Debug, Default)]
+pub struct Batch {
+    pub records: Vec<Record>,
+    outputs: Vec<Output>,
+}
+
+pub struct KeeperHost {
+    name: Name,
+    state: State,
+    make_keeper: KeeperFactory,
+    /// Requests that were not answered yet.
+    pending: BTreeSet<u64>,
+    /// The newest seeds, for a keeper made later.
+    seeds: Option<Vec<Name>>,
+    usage: DiskUsage,
+    /// A write is under way and lasts too long.
+    is_stalled: bool,
+}
+
+impl KeeperHost {
+    pub fn new(state: RecoveredState, now: Ms, make_keeper: KeeperFactory) -> Self {
+        let keeper = make_keeper(state, now);
+        Self {
+            name: keeper.me.clone(),
+            state: State::Running(Box::new(keeper)),
+            make_keeper,
+            pending: BTreeSet::new(),
+            seeds: None,
+            usage: DiskUsage::default(),
+            is_stalled: false,
+        }
+    }
+
+    pub fn name(&self) -> &Name {
+        &self.name
+    }
+
+    /// The keeper, unless it is suspended.
+    pub fn keeper(&self) -> Option<&Keeper> {
+        match &self.state {
+            State::Running(keeper) => Some(keeper),
+            State::Suspended(_) => None,
+        }
+    }
+
+    pub fn note_usage(&mut self, usage: DiskUsage) {
+        self.usage = usage;
+        if let State::Running(keeper) = &mut self.state {
+            keeper.note_disk_usage(usage);
+        }
+    }
+
+    /// Takes one input into the batch. A suspended keeper answers requests and ignores its peers.
+    pub fn step(&mut self, now: Ms, input: Input, batch: &mut Batch) {
+        if let Input::Seeds(seeds) = &input {
+            self.seeds = Some(seeds.clone());
+        }
+        if let Input::Request { token, .. } = &input {
+            self.pending.insert(*token);
+        }
+        match &mut self.state {
+            State::Running(keeper) => {
+                for output in keeper.step(now, input) {
+                    match output {
+                        Output::Persist(record) => batch.records.push(record),
+                        other => batch.outputs.push(other),
+                    }
+                }
+            }
+            State::Suspended(_) => {
+                if let Input::Request { token, ask } = input {
+                    batch.outputs.push(Output::Reply(token, self.refuse(&ask)));
+                }
+            }
+        }
+    }
+
+    /// What may leave, now that the batch's records were saved, or could not be.
+    pub fn saved(&mut self, now: Ms, saved: Result<(), Error>, batch: Batch) -> Vec<Output> {
+        self.is_stalled = false;
+        let outputs = match saved {
+            Ok(()) => self.confirm(now, batch.outputs),
+            Err(why) => self.suspend(now, why),
+        };
+        outputs.into_iter().filter(|output| self.is_awaited(output)).collect()
+    }
+
+    /// A write that lasts too long: whoever waits is told to ask again, as others may go on without this keeper.
+    pub fn decline_pending(&mut self) -> Vec<Output> {
+        self.is_stalled = true;
+        let declined = self.declines();
+        self.pending.clear();
+        declined
+    }
+
+    /// The answer to a request that no keeper can take now.
+    pub fn refuse(&self, request: &Request) -> Reply {
+        match request {
+            Request::Status => Reply::Status { status: self.status() },
+            _ => {
+                let why =
+                    Code::ChainDown.because("the disk of this keeper takes no writes").retry(RETRY_AFTER);
+                Reply::Declined { why }
+            }
+        }
+    }
+
+    /// Is it time to try the disk of a suspended keeper?
+    pub fn is_probe_due(&self, now: Ms) -> bool {
+        matches!(&self.state, State::Suspended(suspension) if now >= suspension.next_probe)
+    }
+
+    /// What the attempt to open the folder anew and to write to it gave.
+    pub fn probed(&mut self, now: Ms, probe: Result<RecoveredState, Error>) -> Batch {
+        let State::Suspended(suspension) = &mut self.state else { return Batch::default() };
+        match probe {
+            Ok(recovered) => {
+                let since = suspension.since;
+                self.resume(now, recovered, since)
+            }
+            Err(why) => {
+                suspension.why = why;
+                suspension.next_probe = now + PROBE_EVERY;
+                Batch::default()
+            }
+        }
+    }
+
+    pub fn status(&self) -> KeeperStatus {
+        match &self.state {
+            State::Running(keeper) if self.is_stalled => KeeperStatus {
+                serving: false,
+                why: "suspended: the disk stalls in a write".into(),
+                ..keeper.status()
+            },
+            State::Running(keeper) => keeper.status(),
+            State::Suspended(suspension) => KeeperStatus {
+                name: self.name.clone(),
+                view: suspension.view.clone(),
+                why: format!("suspended: {}", suspension.why),
+                disk: self.usage,
+                ..Default::default()
+            },
+        }
+    }
+
+    /// Replies that rest on a lease which ended while the disk was written are not given.
+    fn confirm(&mut self, now: Ms, outputs: Vec<Output>) -> Vec<Output> {
+        let State::Running(keeper) = &mut self.state else { return outputs };
+        keeper.advance_clock(now);
+        let is_stale_tail = keeper.is_tail() && !keeper.commits();
+        let view = &keeper.view;
+        let recheck = |output: Output| match output {
+            Output::Reply(token, reply) if is_stale_tail => Output::Reply(token, without_lease(reply, view)),
+            other => other,
+        };
+        outputs.into_iter().map(recheck).collect()
+    }
+
+    fn suspend(&mut self, now: Ms, why: Error) -> Vec<Output> {
+        let State::Running(keeper) = &self.state else { return Vec::new() };
+        let view = keeper.view.clone();
+        let mut outputs = self.declines();
+        outputs.push(Output::Say(format!("suspended, the disk takes no writes: {why}")));
+        self.state = State::Suspended(Suspension { why, since: now, next_probe: now + PROBE_EVERY, view });
+        outputs
+    }
+
+    fn resume(&mut self, now: Ms, recovered: RecoveredState, since: Ms) -> Batch {
+        let mut keeper = (self.make_keeper)(recovered, now);
+        keeper.note_disk_usage(self.usage);
+        let said = format!("the disk takes writes again after {} ms, change {}", now - since, keeper.store.n);
+        self.state = State::Running(Box::new(keeper));
+        let mut batch = Batch { records: Vec::new(), outputs: vec![Output::Say(said)] };
+        if let Some(seeds) = self.seeds.clone() {
+            self.step(now, Input::Seeds(seeds), &mut batch);
+        }
+        batch
+    }
+
+    /// For each request that waits: whether its write was kept is not known.
+    fn declines(&self) -> Vec<Output> {
+        let why = Code::ChainDown.because("the disk has not taken the write").unknown().retry(RETRY_PENDING);
+        let decline = |token: &u64| Output::Reply(*token, Reply::Declined { why: why.clone() });
+        self.pending.iter().map(decline).collect()
+    }
+
+    /// Replies go out once, and only to those that still wait.
+    fn is_awaited(&mut self, output: &Output) -> bool {
+        match output {
+            Output::Reply(token, _) => self.pending.remove(token),
+            _ => true,
+        }
+    }
+}
+
+/// A reply as it may still be given by a tail whose lease has ended: reads and leases are to be asked for elsewhere, and
+/// a write that was committed under that lease is to be asked for again.
+fn without_lease(reply: Reply, view: &View) -> Reply {
+    match reply {
+        Reply::Changes { .. } | Reply::Snapshot { .. } | Reply::Store { .. } | Reply::Adopted { .. } => {
+            Reply::Elsewhere { view: view.clone() }
+        }
+        Reply::Answer { .. } => {
+            let why = Code::ChainDown.because("the lease ended while the disk was written").unknown();
+            Reply::Declined { why: why.retry(RETRY_PENDING) }
+        }
+        other => other,
+    }
+}
--- a/crates/qh-state/src/keeper.rs
+++ b/crates/qh-state/src/keeper.rs
@@ -1,14 +1,17 @@
 //! One keeper: chain member, acceptor, proposer, perhaps the tail. Sans-IO (§5.1).
 use crate::discovery::Discovery;
+use crate::disk_port::DiskUsage;
+use crate::entry_log::EntryLog;
 use crate::feed::Change;
 use crate::lease::Leases;
-use crate::messages::{Entry, PeerMessage, View};
+use crate::messages::{PeerMessage, View};
 use crate::patch::Packed;
 use crate::register::{Acceptor, Proposer, ProposerAction};
 use crate::requests::{PendingPoll, PendingWrite};
+use crate::snapshot::{IncomingSnapshot, OutgoingSnapshot};
 pub use crate::step::{Input, Output, Record, RecoveredState};
 use crate::store::Store;
-use crate::terms::{NODE_LEASE, VIEW_LEASE, outlast};
+use crate::terms::{NODE_LEASE, SILENT, VIEW_LEASE, outlast};
 use qh_core::{ChangeNo, Ms, Name, Version, rt};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -20,7 +23,10 @@
     pub(crate) proposer: Proposer,
     pub view: View,
     pub store: Store,
-    pub(crate) log: VecDeque<Entry>,
+    pub(crate) log: EntryLog,
+    pub(crate) outgoing_snapshot: Option<OutgoingSnapshot>,
+    pub(crate) incoming_snapshot: IncomingSnapshot,
+    pub(crate) disk_usage: DiskUsage,
     /// The same for nodes, since this process began or took a whole store (§5.10).
     pub(crate) news: VecDeque<Change>,
     pub(crate) packed: Option<(Version, Packed)>,
@@ -81,6 +87,9 @@
             view: f.view,
             store: f.store,
             log: f.log,
+            outgoing_snapshot: None,
+            incoming_snapshot: IncomingSnapshot::default(),
+            disk_usage: DiskUsage::default(),
             news: VecDeque::new(),
             packed: None,
             committed: 0,
@@ -106,8 +115,22 @@
         }
     }
 
-    pub fn step(&mut self, now: Ms, i: Input) -> Vec<Output> {
+    /// The time as the caller has it. A keeper that stood still itself cannot tell who was silent meanwhile: nobody's
+    /// silence counts from before then.
+    pub fn advance_clock(&mut self, now: Ms) {
+        let stood_still = now.saturating_sub(self.now);
         self.now = self.now.max(now);
+        if stood_still >= SILENT {
+            self.heard.values_mut().for_each(|heard| *heard = now);
+        }
+    }
+
+    pub fn note_disk_usage(&mut self, usage: DiskUsage) {
+        self.disk_usage = usage;
+    }
+
+    pub fn step(&mut self, now: Ms, i: Input) -> Vec<Output> {
+        self.advance_clock(now);
         match i {
             Input::Peer { from, m } => self.peer(&from, m),
             Input::Request { token, ask } => self.ask(token, ask),
@@ -166,11 +189,11 @@
             }
             PeerMessage::Grant { version, seq } => self.granted(from, version, seq),
             PeerMessage::Pass { version, prev, entries, end } => self.pass(from, version, prev, entries, end),
-            PeerMessage::Need { version, n } => self.need(from, version, n),
+            PeerMessage::Need { version, n, progress } => self.need(from, version, n, progress),
             PeerMessage::Ack { version, committed, in_force } => {
                 self.acked(from, version, committed, in_force)
             }
-            PeerMessage::Fetch { version } => self.fetch(from, version),
+            PeerMessage::Fetch { version, progress } => self.fetch(from, version, progress),
             PeerMessage::Leases { version, rows, unknown_leases } => {
                 // Once it has served in this view it has granted leases itself, perhaps in an earlier life.
                 if version == self.view.version
@@ -182,8 +205,8 @@
                     self.leases().handed(now, &rows, unknown_leases);
                 }
             }
-            PeerMessage::Snapshot { version, store, join, dismissed_leases, unknown_leases } => {
-                if self.install_snapshot(from, version, *store, join) {
+            PeerMessage::Snapshot { version, part, join, dismissed_leases, unknown_leases } => {
+                if self.take_snapshot_part(from, version, part, join) {
                     self.unknown_leases_until = self.now + unknown_leases;
                     self.dismissed_leases =
                         dismissed_leases.into_iter().map(|(n, left)| (n, self.now + left)).collect();
@@ -216,8 +239,7 @@
         if self.now >= self.next_beat && !self.outside_view() {
             self.beat();
             if let Some(p) = self.view.neighbour(&self.me, -1).cloned() {
-                let need = PeerMessage::Need { version: self.view.version, n: self.store.n };
-                self.send(&p, need);
+                self.request_next(&p);
                 // Said again each time, as it may be lost or have crossed a change of view.
                 let ack = self.ack();
                 self.send(&p, ack);
--- a/crates/qh-state/src/messages.rs
+++ b/crates/qh-state/src/messages.rs
@@ -1,5 +1,8 @@
 //! Messages of the state plane (§5).
+use crate::disk_port::DiskUsage;
+use crate::entry_log::PackedEntry;
 use crate::feed::{Change, FeedSnapshot};
+use crate::snapshot::{SnapshotPart, SnapshotProgress};
 use crate::store::{Adopted, Store};
 use qh_core::{ChangeNo, Error, Fence, Lead, Ms, Name, ServerRecord, Version, messages};
 
@@ -61,19 +64,19 @@
         /// The lease of `version` is granted for the beat `seq`.
         Grant { version: Version, seq: u64 },
         /// Down the chain.
-        Pass { version: Version, prev: ChangeNo, entries: Vec<Entry>, end: ChangeNo },
-        /// Up the chain: I hold all to `n`; send what comes next.
-        Need { version: Version, n: ChangeNo },
+        Pass { version: Version, prev: ChangeNo, entries: Vec<PackedEntry>, end: ChangeNo },
+        /// Up the chain: I hold all to `n`, and `progress` of a snapshot; send what comes next.
+        Need { version: Version, n: ChangeNo, progress: SnapshotProgress },
         /// Up the chain from the tail: committed, and in force everywhere.
         Ack { version: Version, committed: ChangeNo, in_force: ChangeNo },
         /// Down the chain, from a tail that was to the one that is: the leases it granted, and for how long there may be
         /// others.
         Leases { version: Version, rows: Vec<LeaseRow>, unknown_leases: Ms },
-        /// A machine outside the view asks the tail for everything.
-        Fetch { version: Version },
+        /// A machine outside the view asks the tail for everything, and tells what it holds of a snapshot.
+        Fetch { version: Version, progress: SnapshotProgress },
         /// `dismissed_leases`: nodes dismissed so lately that a lease may be out, and for how long; `unknown_leases`: for how long there
         /// may be others that the sender does not know (§5.6).
-        Snapshot { version: Version, store: Box<Store>, join: bool, dismissed_leases: Vec<(Name, Ms)>, unknown_leases: Ms },
+        Snapshot { version: Version, part: SnapshotPart, join: bool, dismissed_leases: Vec<(Name, Ms)>, unknown_leases: Ms },
         /// From outside the view: I am reached there, and may take a lost machine's place (§5.9).
         Discover { at: Name },
         /// To one outside: this is the view.
@@ -111,9 +114,14 @@
     #[derive(Eq, Default)]
     pub struct KeeperStatus {
         pub name: Name, pub view: View, pub n: ChangeNo, pub committed: ChangeNo, pub in_force: ChangeNo,
-        pub version: Version, pub serving: bool, pub why: String, pub leases: Vec<LeaseRow>
+        pub version: Version, pub serving: bool, pub why: String, pub leases: Vec<LeaseRow>,
+        pub disk: DiskUsage, pub log: LogSize
     }
 
+    /// Entries kept in memory for members that lag behind, and the bytes they take.
+    #[derive(Copy, Eq, Default)]
+    pub struct LogSize { pub entries: u64, pub bytes: u64 }
+
     #[derive(Eq, Default)]
     pub struct LeaseRow { pub node: Name, pub addr: Name, pub left_ms: Ms, pub applied: ChangeNo }
 
--- a/crates/qh-state/src/patch.rs
+++ b/crates/qh-state/src/patch.rs
@@ -82,6 +82,11 @@
         Patch { pieces, new: Packed::of(&put) }
     }
 
+    /// Bytes it takes in memory.
+    pub fn size(&self) -> usize {
+        self.new.size() + self.pieces.len() * size_of::<Piece>()
+    }
+
     /// The new text; none if this is no patch of `old`.
     pub fn on(&self, old: &str) -> Option<String> {
         let put = self.new.text()?;
--- a/crates/qh-state/src/repair.rs
+++ b/crates/qh-state/src/repair.rs
@@ -1,6 +1,6 @@
 //! Repair of the view: silent members are left out, keepers outside the chain come in (§5.3).
 use crate::keeper::{Keeper, Output};
-use crate::messages::{PeerMessage, View};
+use crate::messages::View;
 use crate::terms::{PROPOSE_GAP, SILENT};
 use qh_core::Name;
 
@@ -47,9 +47,7 @@
                 && now >= self.fetched + 2 * PROPOSE_GAP
                 && let Some(t) = self.view.tail().cloned()
             {
-                self.fetched = now;
-                let m = PeerMessage::Fetch { version: self.view.version };
-                self.send(&t, m);
+                self.fetch_next(&t);
             }
             return;
         }
--- a/crates/qh-state/src/requests.rs
+++ b/crates/qh-state/src/requests.rs
@@ -1,7 +1,8 @@
 //! What nodes and operators ask of a keeper: feed, writes, membership, status (§5.2, §5.6).
+use crate::entry_log::PackedEntry;
 use crate::keeper::{Keeper, Output, Record};
 use crate::lease::Leases;
-use crate::messages::{Answer, Command, Entry, KeeperStatus, Machine, Reply, Request, View};
+use crate::messages::{Answer, Command, Entry, Machine, Reply, Request, View};
 use crate::terms::{ADOPT_WAIT, FEED, NODE_LEASE};
 use qh_core::{ChangeNo, Code, Ms, Name, Version};
 
@@ -117,6 +118,10 @@
                 why: Code::ChainDown.because("too many writes wait").retry(1_000),
             });
         }
+        if self.disk_usage.is_reserve_touched() && cmd.is_document() {
+            let why = Code::ChainDown.because("the disk is nearly full").retry(1_000);
+            return Some(Reply::Declined { why });
+        }
         let past = self.store.past(&key).cloned();
         let ends = AckLevel::of(&cmd);
         let (n, answer) = match past {
@@ -126,7 +131,7 @@
             None => {
                 let had = self.store.n;
                 let e = Entry { n: had + 1, key, cmd };
-                let a = self.append(e)?;
+                let a = self.append(&e, PackedEntry::of(&e))?;
                 self.pass_on(had);
                 (had + 1, a)
             }
@@ -214,33 +219,4 @@
         let half = self.acceptor.accepted.as_ref().and_then(|(_, v)| v.addr(name));
         self.view.addr(name).or(half).cloned().or_else(|| self.candidate_addr(name))
     }
-
-    pub fn status(&self) -> KeeperStatus {
-        let why = if !self.view.has(&self.me) {
-            "outside the view"
-        } else if !self.is_tail() {
-            "in the chain"
-        } else if !self.joined {
-            "waits for its forerunner"
-        } else if self.now < self.wait_until {
-            "waits the old tail out"
-        } else if self.now >= self.lease_until {
-            "no majority renews the view lease"
-        } else if !self.commits() {
-            "the chain is too short to commit"
-        } else {
-            "serves as the tail"
-        };
-        KeeperStatus {
-            name: self.me.clone(),
-            view: self.view.clone(),
-            n: self.store.n,
-            committed: self.committed,
-            in_force: self.in_force,
-            version: self.store.version(),
-            serving: self.serving(),
-            why: why.into(),
-            leases: self.leases.as_ref().map(|l| l.rows(self.now)).unwrap_or_default(),
-        }
-    }
 }
--- a/crates/qh-state/src/step.rs
+++ b/crates/qh-state/src/step.rs
@@ -1,16 +1,16 @@
 //! What goes into a keeper's step and what comes out of it (§5.1).
-use crate::messages::{Entry, PeerMessage, Reply, Request, View};
+use crate::entry_log::{EntryLog, PackedEntry};
+use crate::messages::{PeerMessage, Reply, Request, View};
 use crate::register::Acceptor;
 use crate::store::Store;
 use qh_core::{Name, Version, messages};
-use std::collections::VecDeque;
 
 messages! {
     /// What must be on disk before anything of the same step is sent.
     pub enum Record {
         Acceptor { acceptor: Acceptor },
         View { view: View },
-        Entry { e: Entry },
+        Entry { entry: PackedEntry },
         Snapshot { store: Box<Store> },
         /// As the tail of that view it has begun to serve: every older tail's lease was out by then (§5.3).
         Served { version: Version },
@@ -49,7 +49,7 @@
     pub acceptor: Acceptor,
     pub view: View,
     pub store: Store,
-    pub log: VecDeque<Entry>,
+    pub log: EntryLog,
     /// The last view in which it served as the tail.
     pub served: Version,
     pub catching_up: bool,
--- a/crates/qh-state/src/store.rs
+++ b/crates/qh-state/src/store.rs
@@ -39,6 +39,10 @@
     pub fn sum(&self) -> u64 {
         hash64(&[&borsh::to_vec(self).unwrap_or_default()])
     }
+    /// Does it carry a whole blueprint?
+    pub fn is_document(&self) -> bool {
+        matches!(self, Command::Push { .. } | Command::Adopt { .. })
+    }
 }
 
 impl Store {
--- a/crates/qh-state/src/terms.rs
+++ b/crates/qh-state/src/terms.rs
@@ -1,5 +1,6 @@
 //! The times of the state plane and the sums that tie them together (§5.6).
 use qh_core::Ms;
+use qh_core::wire::FRAME_MAX;
 
 /// Two local clocks may run apart by this many parts in a thousand; every wait on another's term adds it.
 pub const DRIFT_PM: Ms = 20;
@@ -19,8 +20,15 @@
 pub const PROPOSE_GAP: Ms = 250;
 /// Entries kept for feed and catch-up before a snapshot must serve.
 pub const LOG_KEEP: usize = 512;
-/// Entries between two snapshots on disk.
-pub const SNAP_EVERY: u64 = 128;
+/// Their size together, packed as they are kept.
+pub const LOG_BYTES: usize = 4 << 20;
+/// Size of the changes kept for nodes' feeds.
+pub const NEWS_BYTES: usize = 1 << 20;
+/// Entries between two snapshots on disk, if their size does not call for one before.
+pub const SNAP_EVERY: usize = 128;
+/// Bytes of entries or of a snapshot in one message between keepers, far below the longest frame: over a link of
+/// 100 Mbit/s they take 20 ms.
+pub const TRANSFER_BYTES: usize = 256 << 10;
 
 /// A wait that surely outlasts another machine's term.
 pub const fn outlast(term: Ms) -> Ms {
@@ -36,3 +44,5 @@
 const _: () = assert!(SILENT + PROPOSE_GAP + outlast(VIEW_LEASE) + FEED < safe(NODE_LEASE));
 // A node that was not heard of since an adopted blueprint was committed has no lease 3 s after it was acknowledged.
 const _: () = assert!(outlast(NODE_LEASE) - safe(ADOPT_WAIT) < 3_000);
+// A message between keepers with all that may be in one part is far below the longest frame.
+const _: () = assert!(TRANSFER_BYTES < FRAME_MAX / 8);
--- a/crates/qh-state/tests/disk.rs
+++ b/crates/qh-state/tests/disk.rs
@@ -1,6 +1,8 @@
 //! The keeper's data folder (§5.7): what it keeps, and what it declines to serve from.
 use qh_core::Code;
 use qh_state::disk::Disk;
+use qh_state::disk_port::DiskPort;
+use qh_state::entry_log::PackedEntry;
 use qh_state::keeper::Record;
 use qh_state::{Command, Entry, View};
 use std::path::PathBuf;
@@ -36,7 +38,7 @@
 fn filled(d: &Dir) {
     let (mut disk, _) = Disk::open(&d.0, "k1", Some(view())).unwrap();
     for n in 1..=3 {
-        disk.save(&[Record::Entry { e: entry(n) }]).unwrap();
+        disk.save(&[Record::Entry { entry: PackedEntry::of(&entry(n)) }]).unwrap();
     }
 }
 
@@ -53,9 +55,11 @@
     assert_eq!((f.view, f.store.version(), f.log.len()), (view(), 3, 3));
     let mut store = f.store.clone();
     for n in 4..=400 {
-        disk.save(&[Record::Entry { e: entry(n) }]).unwrap();
+        disk.save(&[Record::Entry { entry: PackedEntry::of(&entry(n)) }]).unwrap();
         store.apply(&entry(n)).unwrap();
-        disk.compact(&store).unwrap();
+        if disk.is_snapshot_due() {
+            disk.write_snapshot(&store).unwrap();
+        }
     }
     drop(disk);
     let (_, f) = Disk::open(&d.0, "k1", None).unwrap();
--- /dev/null
+++ b/crates/qh-state/tests/hosts/mod.rs
@@ -0,0 +1,164 @@
+//! Keepers with disks that refuse or stall, in virtual time (§5.7).
+#![allow(dead_code)]
+use qh_core::{Code, Error, Ms, Name};
+use qh_state::disk_port::{DiskPort, DiskUsage};
+use qh_state::host::{Batch, KeeperHost};
+use qh_state::keeper::{Input, Output, Record, RecoveredState};
+use qh_state::{Keeper, Machine, PeerMessage, Reply, Request, Store, View};
+use std::collections::{BTreeMap, VecDeque};
+
+const TICK: Ms = 20;
+
+/// A disk in memory that can be told to refuse writes, or to take long over the next one.
+#[derive(Default)]
+pub struct FaultyDisk {
+    state: RecoveredState,
+    pub refuses: bool,
+    pub stall: Ms,
+}
+
+fn refused() -> Error {
+    Code::DiskBroke.because("No space left on device")
+}
+
+impl DiskPort for FaultyDisk {
+    fn save(&mut self, records: &[Record]) -> Result<(), Error> {
+        if self.refuses {
+            return Err(refused());
+        }
+        for record in records {
+            match record {
+                Record::Acceptor { acceptor } => self.state.acceptor = acceptor.clone(),
+                Record::View { view } => self.state.view = view.clone(),
+                Record::Served { version } => self.state.served = *version,
+                Record::CatchingUp { yes } => self.state.catching_up = *yes,
+                Record::Snapshot { store } => {
+                    self.state.store = store.as_ref().clone();
+                    self.state.log.clear();
+                }
+                Record::Entry { entry } => {
+                    self.state.store.apply(&entry.unpack().unwrap());
+                    self.state.log.push_back(entry.clone());
+                }
+            }
+        }
+        Ok(())
+    }
+    fn is_snapshot_due(&self) -> bool {
+        false
+    }
+    fn write_snapshot(&mut self, _: &Store) -> Result<(), Error> {
+        Ok(())
+    }
+    fn recover(&mut self) -> Result<RecoveredState, Error> {
+        if self.refuses { Err(refused()) } else { Ok(self.state.clone()) }
+    }
+    fn usage(&self) -> DiskUsage {
+        DiskUsage { used: 1, allowed: 100 }
+    }
+}
+
+/// Hosts in one loop, each with its disk; a name is an address too.
+pub struct Hosts {
+    pub now: Ms,
+    pub hosts: BTreeMap<Name, KeeperHost>,
+    pub disks: BTreeMap<Name, FaultyDisk>,
+    wire: VecDeque<(Name, Name, PeerMessage)>,
+    pub replies: Vec<(u64, Reply)>,
+    pub said: Vec<(Name, String)>,
+    /// Messages that each host sent.
+    pub sent: BTreeMap<Name, usize>,
+}
+
+impl Hosts {
+    pub fn new(names: &[&str]) -> Self {
+        let machine = |n: &&str| Machine { name: (*n).into(), addr: (*n).into() };
+        let members = names.iter().map(|n| Name::from(*n)).collect();
+        let view = View { version: 1, members, machines: names.iter().map(machine).collect() };
+        let (now, hosts, disks) = (1_000, BTreeMap::new(), BTreeMap::new());
+        let (wire, replies, said, sent) = (VecDeque::new(), Vec::new(), Vec::new(), BTreeMap::new());
+        let mut net = Self { now, hosts, disks, wire, replies, said, sent };
+        for name in names {
+            let state = RecoveredState { view: view.clone(), ..Default::default() };
+            let me = Name::from(*name);
+            let make = Box::new(move |state, now| Keeper::new(me.clone(), now, state));
+            net.hosts.insert((*name).into(), KeeperHost::new(state.clone(), now, make));
+            net.disks.insert((*name).into(), FaultyDisk { state, ..Default::default() });
+        }
+        net
+    }
+
+    pub fn disk(&mut self, name: &str) -> &mut FaultyDisk {
+        self.disks.get_mut(name).unwrap()
+    }
+
+    pub fn step(&mut self, name: &str, input: Input) {
+        let mut batch = Batch::default();
+        self.hosts.get_mut(name).unwrap().step(self.now, input, &mut batch);
+        self.commit(name, batch);
+    }
+
+    fn commit(&mut self, name: &str, batch: Batch) {
+        let disk = self.disks.get_mut(name).unwrap();
+        let mut saved = Ok(());
+        if !batch.records.is_empty() {
+            saved = disk.save(&batch.records);
+            self.now += std::mem::take(&mut disk.stall);
+        }
+        let host = self.hosts.get_mut(name).unwrap();
+        host.note_usage(disk.usage());
+        let outputs = host.saved(self.now, saved, batch);
+        for output in outputs {
+            match output {
+                Output::Send(to, message) => {
+                    *self.sent.entry(name.into()).or_default() += 1;
+                    self.wire.push_back((name.into(), to, message));
+                }
+                Output::Reply(token, reply) => self.replies.push((token, reply)),
+                Output::Say(line) => self.said.push((name.into(), line)),
+                Output::Persist(record) => panic!("{record:?} left with the outputs"),
+            }
+        }
+    }
+
+    pub fn run(&mut self, ms: Ms) {
+        let end = self.now + ms;
+        let names: Vec<Name> = self.hosts.keys().cloned().collect();
+        while self.now < end {
+            self.now += TICK;
+            for name in &names {
+                self.step(name, Input::Tick);
+                self.probe(name);
+            }
+            while let Some((from, to, m)) = self.wire.pop_front() {
+                self.step(&to, Input::Peer { from, m });
+            }
+        }
+    }
+
+    fn probe(&mut self, name: &str) {
+        let host = self.hosts.get_mut(name).unwrap();
+        if host.is_probe_due(self.now) {
+            let recovered = self.disks.get_mut(name).unwrap().recover();
+            let batch = host.probed(self.now, recovered);
+            self.commit(name, batch);
+        }
+    }
+
+    pub fn ask(&mut self, name: &str, token: u64, ask: Request) {
+        self.step(name, Input::Request { token, ask });
+    }
+
+    pub fn replies_to(&self, token: u64) -> Vec<&Reply> {
+        self.replies.iter().filter(|(t, _)| *t == token).map(|(_, reply)| reply).collect()
+    }
+
+    pub fn keeper(&self, name: &str) -> &Keeper {
+        self.hosts[name].keeper().unwrap_or_else(|| panic!("{name} is suspended"))
+    }
+
+    /// The keeper that serves as the tail.
+    pub fn tail(&self) -> Option<&Keeper> {
+        self.hosts.values().filter_map(KeeperHost::keeper).find(|keeper| keeper.commits())
+    }
+}
--- a/crates/qh-state/tests/kit/mod.rs
+++ b/crates/qh-state/tests/kit/mod.rs
@@ -2,7 +2,9 @@
 #![allow(dead_code)]
 use qh_core::{ChangeNo, Ms, Name};
 use qh_state::keeper::{Input, Output, Record, RecoveredState};
-use qh_state::{Answer, Command, DiscoverySettings, Keeper, Machine, PeerMessage, Reply, Request, View};
+use qh_state::{
+    Answer, Command, DiscoverySettings, Keeper, KeeperRequest, Machine, PeerMessage, Reply, Request, View,
+};
 use std::collections::{BTreeMap, VecDeque};
 
 #[derive(Default)]
@@ -13,6 +15,10 @@
     pub at: BTreeMap<Name, Name>,
     pub down: Vec<Name>,
     pub wire: VecDeque<(Name, Name, PeerMessage)>,
+    /// So many of the next parts of snapshots are lost.
+    pub lose_parts: usize,
+    /// Lengths of the frames that were sent.
+    pub sent_lengths: Vec<usize>,
     pub reps: Vec<(u64, Reply)>,
     /// What each keeper's disk holds.
     pub disks: BTreeMap<Name, RecoveredState>,
@@ -70,9 +76,9 @@
             Record::Served { version } => d.served = *version,
             Record::CatchingUp { yes } => d.catching_up = *yes,
             Record::Snapshot { store } => (d.store, d.log) = (store.as_ref().clone(), Default::default()),
-            Record::Entry { e } => {
-                d.store.apply(e);
-                d.log.push_back(e.clone());
+            Record::Entry { entry } => {
+                d.store.apply(&entry.unpack().unwrap());
+                d.log.push_back(entry.clone());
             }
         }
     }
@@ -91,6 +97,12 @@
         for (addr, o) in outs {
             match o {
                 Output::Send(_, m) => {
+                    if self.lose_parts > 0 && matches!(m, PeerMessage::Snapshot { .. }) {
+                        self.lose_parts -= 1;
+                        continue;
+                    }
+                    let frame = KeeperRequest::Peer { from: n.into(), m: m.clone() };
+                    self.sent_lengths.push(borsh::to_vec(&frame).unwrap().len());
                     let to = addr.and_then(|a| self.at.get(&a).cloned());
                     self.wire.extend(to.map(|to| (n.into(), to, m)));
                 }
--- a/crates/qh/src/show.rs
+++ b/crates/qh/src/show.rs
@@ -53,6 +53,15 @@
     rows(&head, body.collect())
 }
 
+/// Size of a keeper's data folder, and the size it may have.
+fn disk_used(disk: &Value) -> String {
+    let megabytes = |bytes: &Value| bytes.as_f64().map(|b| b / 1e6);
+    match (megabytes(&disk["used"]), megabytes(&disk["allowed"])) {
+        (Some(used), Some(allowed)) => format!("{used:.1} of {allowed:.0} MB"),
+        _ => String::new(),
+    }
+}
+
 fn status(v: &Value) -> String {
     let view = &v["view"];
     let members: Vec<String> = list(view, "members").map(s).collect();
@@ -65,9 +74,10 @@
     );
     let ks = list(v, "keepers").map(|k| {
         let why = if k["silent"] == true { "silent".into() } else { s(&k["why"]) };
-        vec![s(&k["name"]), s(&k["addr"]), s(&k["n"]), s(&k["committed"]), s(&k["in_force"]), why]
+        let disk = disk_used(&k["disk"]);
+        vec![s(&k["name"]), s(&k["addr"]), s(&k["n"]), s(&k["committed"]), s(&k["in_force"]), disk, why]
     });
-    out += &rows(&["KEEPER", "ADDRESS", "CHANGE", "COMMITTED", "IN FORCE", "STATE"], ks.collect());
+    out += &rows(&["KEEPER", "ADDRESS", "CHANGE", "COMMITTED", "IN FORCE", "DISK", "STATE"], ks.collect());
     let ls = list(v, "leads").map(|l| cells(l, &["group", "server", "fence", "by"]));
     out += "\n";
     out += &rows(&["GROUP", "LEAD", "FENCE", "BY"], ls.collect());
--- a/crates/qhd/src/chainc.rs
+++ b/crates/qhd/src/chainc.rs
@@ -96,7 +96,13 @@
                     Code::ChainDown.because("the chain is being mended")
                 }
                 Ok(Reply::Declined { why }) if why.is(Code::BlueprintInvalid) => return Err(why),
-                Ok(Reply::Declined { why }) => why,
+                Ok(Reply::Declined { why }) => {
+                    // A head whose disk refuses declines at once: others may go on without it by now.
+                    if why.is(Code::ChainDown) {
+                        self.look().await;
+                    }
+                    why
+                }
                 Ok(_) => Code::ChainDown.because("an answer that is none"),
                 Err(b) => {
                     self.look().await;
@@ -169,6 +175,7 @@
             let to = self.tail();
             match self.ask(&to, ask.clone(), left).await {
                 Ok(Reply::Elsewhere { view }) => self.learn(view),
+                Ok(Reply::Declined { .. }) => {}
                 Ok(rep) => return Ok(rep),
                 Err(_) => {}
             }
--- a/crates/qhd/src/feed.rs
+++ b/crates/qhd/src/feed.rs
@@ -61,8 +61,7 @@
                 enrolled = 0;
                 None
             }
-            Ok(_) => None,
-            Err(_) => {
+            Ok(_) | Err(_) => {
                 f.chain.look().await;
                 to = f.chain.tail();
                 None
--- a/crates/qhd/src/ops.rs
+++ b/crates/qhd/src/ops.rs
@@ -84,7 +84,8 @@
                 || json!({"name": name, "addr": addr, "silent": true}),
                 |s| {
                     json!({"name": name, "addr": addr, "why": s.why, "view": s.view.version, "n": s.n,
-                    "committed": s.committed, "in_force": s.in_force, "leases": s.leases.len()})
+                    "committed": s.committed, "in_force": s.in_force, "leases": s.leases.len(),
+                    "disk": s.disk, "log": s.log})
                 },
             )
         })
--- a/crates/qhk/src/main.rs
+++ b/crates/qhk/src/main.rs
@@ -1,7 +1,8 @@
 //! qhk: a chain keeper, on a machine with a disk (§5).
 use qh_core::settings::{KeeperSettings, read};
-use qh_core::{Code, Error, now};
+use qh_core::{Code, Error, Name, now};
 use qh_state::disk::Disk;
+use qh_state::host::KeeperHost;
 use qh_state::{Keeper, Machine, View, driver};
 
 const HELP: &str = "qhk: a chain keeper of quincehatch
@@ -113,7 +114,8 @@
         .map_err(|e| Code::PortInUse.because(format_args!("{}: {e}", set.addr)))?;
     log::info!(target: "chain", "keeper {} listens on {}, view {}, change {}", set.name, set.addr,
         found.view.version, found.store.n);
-    let keeper = Keeper::new(set.name.as_str().into(), now(), found);
+    let me = Name::from(set.name.as_str());
+    let host = KeeperHost::new(found, now(), Box::new(move |state, now| Keeper::new(me.clone(), now, state)));
     let (tx, rx) = tokio::sync::watch::channel(false);
     tokio::spawn(async move {
         use tokio::signal::unix::{SignalKind, signal};
@@ -126,5 +128,5 @@
         let _ = tx.send(true);
         std::future::pending::<()>().await;
     });
-    driver::run(keeper, disk, lst, rx).await
+    driver::run(host, disk, lst, rx).await
 }
