--- a/crates/qh-state/tests/behind.rs
+++ b/crates/qh-state/tests/behind.rs
@@ -2,11 +2,12 @@
 mod documents;
 mod kit;
 
-use documents::{adopt, noise};
+use documents::{adopt, document, noise};
 use kit::Net;
 use qh_core::{ChangeNo, Name};
 use qh_state::terms::{LOG_BYTES, LOG_KEEP, TRANSFER_BYTES};
 use qh_state::{Answer, Command, Reply, Request};
+use std::time::Instant;
 
 const NAMES: [&str; 3] = ["a", "b", "c"];
 /// Room for the fields beside the entries or the snapshot's bytes.
@@ -134,3 +135,24 @@
     net.run(1_000);
     caught_up(&net, "c");
 }
+
+/// `cargo test --release -p qh-state --test behind -- --ignored --nocapture` prints the rows of docs/measurements.md.
+#[test]
+#[ignore = "prints a table of measurements; the tests above decide"]
+fn cost_of_catching_up_by_number_of_changes() {
+    println!("| changes missed | bytes | messages | longest | processor ms | log in memory, bytes |");
+    for changes in [10, 100, 1_000, 5_000] {
+        let mut net = chain_without("c");
+        for n in 1..=changes {
+            write(&mut net, n, adopt(n, document(n)));
+        }
+        net.down.clear();
+        let began = Instant::now();
+        let longest = longest_message_until(&mut net, "c", changes);
+        let (took, sent) = (began.elapsed().as_millis(), &net.sent_lengths);
+        let full: Vec<usize> = sent.iter().copied().filter(|length| *length > 1_000).collect();
+        let (bytes, messages) = (full.iter().sum::<usize>(), full.len());
+        let log = net.ks["a"].status().log.bytes;
+        println!("| {changes} | {bytes} | {messages} | {longest} | {took} | {log} |");
+    }
+}
--- a/crates/qh-state/tests/kit/mod.rs
+++ b/crates/qh-state/tests/kit/mod.rs
@@ -17,7 +17,7 @@
     pub wire: VecDeque<(Name, Name, PeerMessage)>,
     /// So many of the next parts of snapshots are lost.
     pub lose_parts: usize,
-    /// Lengths of the frames that were sent.
+    /// Lengths of the frames that were sent with entries or with parts of snapshots.
     pub sent_lengths: Vec<usize>,
     pub reps: Vec<(u64, Reply)>,
     /// What each keeper's disk holds.
@@ -101,8 +101,10 @@
                         self.lose_parts -= 1;
                         continue;
                     }
-                    let frame = KeeperRequest::Peer { from: n.into(), m: m.clone() };
-                    self.sent_lengths.push(borsh::to_vec(&frame).unwrap().len());
+                    if matches!(m, PeerMessage::Snapshot { .. } | PeerMessage::Pass { .. }) {
+                        let frame = KeeperRequest::Peer { from: n.into(), m: m.clone() };
+                        self.sent_lengths.push(borsh::to_vec(&frame).unwrap().len());
+                    }
                     let to = addr.and_then(|a| self.at.get(&a).cloned());
                     self.wire.extend(to.map(|to| (n.into(), to, m)));
                 }
