A folder that cannot be read is not an empty one; earlier folders read in a test

Cause: exists() says no where the answer is an error, so a keeper whose disk refused even that would have begun a new folder over its own. Change: try_exists, an error suspends. Tests: a file that is away for a while is recovered; a folder of an earlier version is read and replaced.

--- a/crates/qh-state/src/disk.rs
+++ b/crates/qh-state/src/disk.rs
@@ -29,7 +29,7 @@
     /// without it an empty folder is declined, as a lost disk must not vote as if it remembered (§5.7).
     pub fn open(dir: &Path, name: &str, first: Option<View>) -> Result<(Self, RecoveredState), Error> {
         let file = dir.join(FILE);
-        let is_new = !file.exists();
+        let is_new = !file.try_exists().map_err(broken)?;
         match (&first, is_new) {
             (None, true) => {
                 return Err(unusable(format_args!(
@@ -58,7 +58,8 @@
     /// What the folder holds, if anything was ever kept there: the keeper's name is in it (§5.9).
     pub fn find(dir: &Path) -> Result<Option<(String, Self, RecoveredState)>, Error> {
         let file = dir.join(FILE);
-        if file.exists() { Self::at(&file).map(Some) } else { Ok(None) }
+        // A folder that cannot be read at this time is not an empty one.
+        if file.try_exists().map_err(broken)? { Self::at(&file).map(Some) } else { Ok(None) }
     }
 
     /// Makes the folder of a new keeper. The file has its name only once all of it is synced: what a kill left
--- a/crates/qh-state/tests/disk.rs
+++ b/crates/qh-state/tests/disk.rs
@@ -1,10 +1,10 @@
 //! The keeper's data folder (§5.7): what it keeps, and what it declines to serve from.
-use qh_core::Code;
+use qh_core::{Code, hash64};
 use qh_state::disk::Disk;
 use qh_state::disk_port::DiskPort;
 use qh_state::entry_log::PackedEntry;
 use qh_state::keeper::Record;
-use qh_state::{Command, Entry, View};
+use qh_state::{Command, Entry, Store, View};
 use std::path::PathBuf;
 
 struct Dir(PathBuf);
@@ -123,3 +123,61 @@
     assert_eq!((name.as_str(), found.view), ("k1#5", view()));
     assert_eq!(std::fs::read_dir(&d.0).unwrap().count(), 1);
 }
+
+/// A file that is away for a while, as one on a disk that refuses is.
+#[test]
+fn a_folder_that_cannot_be_opened_is_recovered_once_it_can() {
+    let d = Dir::new("recover");
+    filled(&d);
+    let (mut disk, found) = Disk::open(&d.0, "k1", None).unwrap();
+    let away = d.0.join("away");
+    std::fs::rename(d.file(), &away).unwrap();
+    for _ in 0..2 {
+        let error = disk.recover().map(|_| ()).expect_err("there is no file");
+        assert!(error.is(Code::DiskBroke), "{error}");
+        let refused = disk.save(&[Record::Served { version: 9 }]).expect_err("it is not open");
+        assert!(refused.is(Code::DiskBroke), "{refused}");
+    }
+    std::fs::rename(&away, d.file()).unwrap();
+    let recovered = disk.recover().unwrap();
+    assert_eq!((&recovered.store, &recovered.view), (&found.store, &found.view));
+    disk.save(&[Record::Entry { entry: PackedEntry::of(&entry(4)) }]).unwrap();
+    drop(disk);
+    assert_eq!(Disk::open(&d.0, "k1", None).unwrap().1.store.n, 4);
+}
+
+/// Folders of versions that kept the store and the entries unpacked.
+#[test]
+fn a_folder_of_an_earlier_version_is_read_and_replaced_by_the_first_snapshot() {
+    let d = Dir::new("earlier");
+    drop(Disk::make(&d.0, "k1", view()).unwrap());
+    let mut store = Store::default();
+    store.apply(&entry(1)).unwrap();
+    write_earlier_version(&d, &store, &[entry(1), entry(2), entry(3)]);
+    store.apply(&entry(2)).unwrap();
+    store.apply(&entry(3)).unwrap();
+    let (mut disk, state) = Disk::open(&d.0, "k1", None).unwrap();
+    assert_eq!((&state.store, state.log.len()), (&store, 3));
+    disk.write_snapshot(&store).unwrap();
+    disk.save(&[Record::Entry { entry: PackedEntry::of(&entry(4)) }]).unwrap();
+    drop(disk);
+    store.apply(&entry(4)).unwrap();
+    assert_eq!(Disk::open(&d.0, "k1", None).unwrap().1.store, store);
+}
+
+fn with_checksum(value: &impl borsh::BorshSerialize) -> Vec<u8> {
+    let body = borsh::to_vec(value).unwrap();
+    [&hash64(&[&body]).to_le_bytes()[..], &body].concat()
+}
+
+fn write_earlier_version(d: &Dir, store: &Store, entries: &[Entry]) {
+    const META: redb::TableDefinition<&str, &[u8]> = redb::TableDefinition::new("meta");
+    const LOG: redb::TableDefinition<u64, &[u8]> = redb::TableDefinition::new("log");
+    let db = redb::Database::open(d.file()).unwrap();
+    let tx = db.begin_write().unwrap();
+    tx.open_table(META).unwrap().insert("whole", with_checksum(store).as_slice()).unwrap();
+    for entry in entries {
+        tx.open_table(LOG).unwrap().insert(entry.n, with_checksum(entry).as_slice()).unwrap();
+    }
+    tx.commit().unwrap();
+}
