--- a/crates/qh-state/tests/incarnation.rs
+++ b/crates/qh-state/tests/incarnation.rs
@@ -90,7 +90,9 @@
                     Output::Persist(qh_state::keeper::Record::Acceptor { acceptor }) => {
                         recovered.acceptor = acceptor
                     }
-                    Output::Send(_, PeerMessage::Prepare { ballot, .. }) if !used.contains(&(life, ballot)) => {
+                    Output::Send(_, PeerMessage::Prepare { ballot, .. })
+                        if !used.contains(&(life, ballot)) =>
+                    {
                         used.push((life, ballot));
                     }
                     _ => {}
--- a/crates/qhd/src/chainc.rs
+++ b/crates/qhd/src/chainc.rs
@@ -108,7 +108,13 @@
                     Code::ChainDown.because("the chain is being mended")
                 }
                 Ok(Reply::Declined { why }) if why.is(Code::BlueprintInvalid) => return Err(why),
-                Ok(Reply::Declined { why }) => why,
+                Ok(Reply::Declined { why }) => {
+                    // A head whose disk refuses declines at once: others may go on without it by now.
+                    if why.is(Code::ChainDown) {
+                        self.look().await;
+                    }
+                    why
+                }
                 Ok(_) => Code::ChainDown.because("an answer that is none"),
                 Err(b) => {
                     self.look().await;
@@ -183,8 +189,11 @@
             match self.ask(&to, ask.clone(), left).await {
                 Ok(Reply::Elsewhere { view }) => self.learn(view),
                 // A process that stood still finds the answer and the end of its patience together: that answer is old.
-                Ok(rep) if now() <= asked + left.as_millis() as u64 => return Ok(rep),
-                Ok(_) | Err(_) => {}
+                Ok(reply)
+                    if now() > asked + left.as_millis() as u64 || matches!(reply, Reply::Declined { .. }) => {
+                }
+                Ok(reply) => return Ok(reply),
+                Err(_) => {}
             }
             self.tail_after(&to).await;
             if now() + 50 >= until {
--- a/crates/qhd/tests/frozen_reader.rs
+++ b/crates/qhd/tests/frozen_reader.rs
@@ -1,6 +1,6 @@
 //! A reader that stood still hands out no answer of before (§5.2, docs/design-control.md).
 use qh_core::Code;
-use qh_core::wire::answer;
+use qh_core::wire::{Identity, serve};
 use qh_state::{Adopted, KeeperRequest, KeeperResponse, Reply};
 use qhd::chainc::Chain;
 use std::sync::mpsc;
@@ -16,7 +16,7 @@
         rt.block_on(async move {
             let lst = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
             tell.send(lst.local_addr().unwrap().to_string()).unwrap();
-            answer(lst, 8, move |_: KeeperRequest| {
+            serve(lst, 8, Identity::new("keeper"), move |_: KeeperRequest| {
                 let answered = answered.clone();
                 async move {
                     let _ = answered.send(());
@@ -33,7 +33,7 @@
 #[test]
 fn an_answer_that_waited_out_a_freeze_is_not_handed_out() {
     let (tell, answered) = mpsc::channel();
-    let chain = Chain::new(&[keeper(tell)]);
+    let chain = Chain::new("reader", &[keeper(tell)]);
     let rt = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     let read = rt.block_on(async {
         let read = chain.adopted(WITHIN);
