--- a/tools/point_days.py
+++ b/tools/point_days.py
@@ -69,8 +69,8 @@
 def issue_leader_replaced_then_wiped(day, draw):
     """The acting machine replaced twice, then a disk lost after the last acknowledgement."""
     day.closing = {"kind": "wipe_after_ack", "down_s": 1.0}
-    day.add("replace_core", 5.1, x=1.0, how="leader")
-    day.add("replace_core", 13.0, x=1.0, how="leader")
+    day.add("replace_core", 5.1, x=0.5, how="leader")
+    day.add("replace_core", 13.0, x=0.5, how="leader")
     add_config_changes(day, draw, 3)
 
 
@@ -115,14 +115,14 @@
         day.add(kind, draw.between(4.0, 24.0), on="core", for_s=draw.between(2.0, 8.0), how=how)
 
 
-def add_loss(day, draw, at, zone=None):
-    """Adds the loss of a core machine (one of `zone`, where given) and returns the moment from which it is back."""
+def add_loss(day, draw, at):
+    """Adds the loss of a core machine and returns the moment from which it is back."""
     for_s = draw.between(0.5, 4.0)
     follow_up = draw.pick(FOLLOW_UPS)
     kind = draw.pick(LOSSES)
     if kind == "replace_core":
-        target = "" if zone else draw.pick(TARGETS)
-        day.add(kind, at, x=for_s, zone=zone, how=draw.words((target,), ("", "planned"), (follow_up,)))
+        target = draw.pick(TARGETS)
+        day.add(kind, at, x=for_s, how=draw.words((target,), ("", "planned"), (follow_up,)))
     elif kind == "node_kill":
         how = draw.words(("power",), TARGETS, (follow_up,))
         day.add(kind, at, on="core", count=1, for_s=for_s, how=how)
@@ -138,15 +138,30 @@
 
 def point_second_loss(day, draw):
     """Point 3: a loss of a core machine, and a second (at times a third) soon after the first is back."""
-    zones = draw.two(day.site.core_zones) if draw.chance(0.6) else (None, None)
-    back = add_loss(day, draw, draw.between(3.0, 8.0), zones[0])
+    if draw.chance(0.6):
+        back = add_two_replacements(day, draw)
+    else:
+        back = add_loss(day, draw, draw.between(3.0, 8.0))
+        back = add_loss(day, draw, back + gap_after_loss(day.site, draw))
     if draw.chance(0.3):
         day.add("seed_turnover", back + draw.between(0.1, 4.0))
-    back = add_loss(day, draw, back + gap_after_loss(day.site, draw), zones[1])
-    if draw.chance(0.5):
+    if draw.chance(0.6):
         add_loss(day, draw, back + gap_after_loss(day.site, draw))
 
 
+def add_two_replacements(day, draw):
+    """Replaces two different core machines for good, and returns the moment from which the second successor runs."""
+    at = draw.between(3.0, 8.0)
+    for zone in draw.two(day.site.core_zones):
+        # The sooner a successor runs, the sooner the bench allows the next loss.
+        for_s = draw.between(0.5, 1.0) if draw.chance(0.7) else draw.between(1.0, 3.0)
+        how = draw.words(("", "", "planned"), FOLLOW_UPS)
+        day.add("replace_core", at, x=for_s, zone=zone, how=how)
+        back = at + for_s
+        at = back + gap_after_loss(day.site, draw)
+    return back
+
+
 def gap_after_loss(site, draw):
     """The pause from a machine's return to the next loss: just over what the site grants for catching up, or longer."""
     return site.catch_up_s + draw.between(0.2, 5.0)
