The mesh asks one dead node a second, so that one which is back refutes its death

Cause: whoever was held dead and is back heard of it only while the rumor was still told (six letters). Change: once a second each node pings one that it holds dead and tells it the rumor; one that is back raises its incarnation. None that left is asked.

--- a/crates/qh-mesh/src/member.rs
+++ b/crates/qh-mesh/src/member.rs
@@ -16,6 +16,8 @@
 /// How often a rumor is passed on, and how many ride on one letter.
 const TOLD: u32 = 6;
 const RIDERS: usize = 12;
+/// The number of a ping whose answer is not waited for.
+pub(crate) const NO_PROBE: u64 = 0;
 
 #[derive(Clone, Debug)]
 pub(crate) struct Known {
@@ -224,6 +226,7 @@
         if now >= self.next[1] {
             self.next[1] = now + SHUFFLE;
             self.shuffle();
+            self.ping_dead();
         }
         if now >= self.next[2] {
             self.next[2] = now + BEATS;
@@ -237,7 +240,7 @@
         self.me.life = Life::Left;
         let all: Vec<Name> = self.known.values().map(|k| k.r.addr.clone()).collect();
         for a in all {
-            self.letter(&a, MeshMsg::Ping { seq: 0 });
+            self.letter(&a, MeshMsg::Ping { seq: NO_PROBE });
         }
         std::mem::take(&mut self.out)
     }
--- a/crates/qh-mesh/src/probe.rs
+++ b/crates/qh-mesh/src/probe.rs
@@ -1,6 +1,6 @@
 //! Asking, suspecting, burying, shuffling, and passing beats on: what the mesh does as time passes (§6.2).
-use crate::member::{INDIRECT_WITHIN, Mesh, Out, Probe, VIEW};
-use crate::msgs::{Life, MeshMsg};
+use crate::member::{INDIRECT_WITHIN, Mesh, NO_PROBE, Out, Probe, VIEW};
+use crate::msgs::{Letter, Life, MeshMsg, Rumor};
 use qh_core::{Beat, Ms, Name};
 
 const PONG_WITHIN: Ms = 250;
@@ -88,6 +88,23 @@
         }
     }
 
+    /// Two nodes that hold each other dead have no other reason to write to each other once a cut is over. One that is
+    /// back refutes the rumor; one that left is not asked.
+    pub(crate) fn ping_dead(&mut self) {
+        let dead: Vec<Rumor> =
+            self.known.values().filter(|k| k.r.life == Life::Dead).map(|k| k.r.clone()).collect();
+        if let Some(rumor) = self.rng.pick(&dead).cloned() {
+            self.ping_with(&rumor.addr.clone(), rumor);
+        }
+    }
+
+    /// A ping to whom one rumor is told, and that awaits no answer.
+    fn ping_with(&mut self, to: &Name, rumor: Rumor) {
+        let m = MeshMsg::Ping { seq: NO_PROBE };
+        self.sent += 1;
+        self.out.push(Out::Send(to.clone(), Letter { from: self.me.clone(), rumors: vec![rumor], m }));
+    }
+
     pub(crate) fn pass_beats(&mut self) {
         let mut fresh: Vec<_> = self.news.values_mut().filter(|(_, told)| *told < 3).collect();
         let beats: Vec<Beat> = fresh
