--- a/crates/qh-control/src/sync.rs
+++ b/crates/qh-control/src/sync.rs
@@ -117,6 +117,7 @@
     let Some(lead) = &s.lead else { return Need::Nothing };
     let over = |ms: Option<Ms>, most| ms.is_some_and(|ms| ms >= most);
     match &lead.server {
+        _ if s.others_turn() => Need::Nothing,
         None if s.lead_for >= STUCK => Need::Now { planned: false },
         None => Need::Nothing,
         Some(_) if dead(s) || over(s.stalled, STALLED) => Need::Confirm,
--- a/crates/qh-control/src/watch.rs
+++ b/crates/qh-control/src/watch.rs
@@ -18,6 +18,8 @@
     pub lead: Option<Lead>,
     /// How long the lead has stood as it is, as seen here.
     pub lead_for: Ms,
+    /// A fence above the lead's was taken so long ago, by another node's promotion that wrote nothing since.
+    pub begun: Option<Ms>,
     /// Servers of the group known here.
     pub servers: Vec<Name>,
     pub copies: usize,
@@ -46,9 +48,16 @@
     },
 }
 
+impl Sight {
+    /// Another node's change of hands was begun lately: it goes first (§5.5).
+    pub fn others_turn(&self) -> bool {
+        self.begun.is_some_and(|ms| ms < STUCK)
+    }
+}
+
 /// What the group needs.
 pub fn need(s: &Sight) -> Need {
-    if s.servers.len() * 2 <= s.copies {
+    if s.servers.len() * 2 <= s.copies || s.others_turn() {
         return Need::Nothing;
     }
     let Some(lead) = &s.lead else { return Need::Now { planned: false } };
--- a/crates/qh-control/src/words.rs
+++ b/crates/qh-control/src/words.rs
@@ -63,6 +63,8 @@
     pub attempt: Name,
     /// The lead, or the close, that this is planned for.
     pub lead: Option<Lead>,
+    /// The newest fence of the group's duty at that moment.
+    pub over: Fence,
     pub old: Option<Name>,
     /// All servers of the group, the old primary too.
     pub servers: Vec<Name>,
--- a/crates/qh-control/tests/promotion.rs
+++ b/crates/qh-control/tests/promotion.rs
@@ -11,6 +11,7 @@
         by: "n".into(),
         attempt: "1".into(),
         lead: None,
+        over: 0,
         old: None,
         servers: names(servers),
         copies: 3,
--- a/crates/qh-lab/tests/choice/net.rs
+++ b/crates/qh-lab/tests/choice/net.rs
@@ -174,6 +174,7 @@
                     attempt: by.clone(),
                     by,
                     lead: None,
+                    over: f - 1,
                     old: None,
                     servers,
                     copies: 3,
--- a/crates/qh-lab/tests/sim.rs
+++ b/crates/qh-lab/tests/sim.rs
@@ -68,10 +68,11 @@
     }
 }
 
-/// Drawn seeds in which acknowledged orders vanished or a lead was missing at the end (§5.5).
+/// Drawn seeds in which acknowledged orders vanished or a lead was missing at the end (§5.5): in 154 two owners of a
+/// duty overtook each other.
 #[test]
 fn seeds_that_once_lost_orders_lose_none() {
-    for seed in [700_294, 2_001_440, 2_000_736, 2_000_857] {
+    for seed in [154, 700_294, 2_001_440, 2_000_736, 2_000_857] {
         seeds(std::iter::once(seed), 3, 5, groups(seed));
     }
 }
--- a/crates/qh-state/src/msgs.rs
+++ b/crates/qh-state/src/msgs.rs
@@ -37,9 +37,18 @@
         Dismiss { node: Name, enrolled: ChangeNo },
         /// The lead under the fence has all of its log on two of its list: lists from before are let go (§5.5).
         Settle { group: Name, fence: Fence },
-        /// The next fence for a duty's key, if none was taken since `seen`: of two that begin at once, the later one
-        /// does not overtake the other and then give up (§5.4).
-        NextFence { duty: Name, by: Name, seen: Fence }
+        /// The next fence for a group's duty, if its leadership is still `over`, as its taker planned for: whoever
+        /// comes too late takes none, so it never overtakes another only to give up (§5.4).
+        NextFence { group: Name, by: Name, over: Leadership }
+    }
+
+    /// Who leads a group, and under which fence the next change of that was begun.
+    #[derive(Eq, Default)]
+    pub struct Leadership {
+        /// The newest fence of the group's duty. Above the lead's own: a change of hands is begun and wrote nothing yet.
+        pub fence: Fence,
+        /// The lead as it was last written.
+        pub lead: Option<Lead>
     }
 
     #[derive(Eq)]
--- a/crates/qh-state/src/news.rs
+++ b/crates/qh-state/src/news.rs
@@ -1,9 +1,9 @@
 //! What the tail tells nodes: of each entry that alone which they act on, and blueprints as what changed of the one
 //! before (§5.10).
 use crate::keeper::Keeper;
-use crate::msgs::{Answer, Cmd, Entry, Rep};
+use crate::msgs::{Answer, Cmd, Entry, Leadership, Rep};
 use crate::patch::{Packed, Patch};
-use crate::store::{Store, stand};
+use crate::store::{Store, duty_of, stand};
 use crate::terms::LOG_KEEP;
 use qh_core::{ChangeNo, Edition, Fence, Lead, Ms, Name, Standing, messages};
 use std::collections::BTreeMap;
@@ -92,6 +92,9 @@
     pub fn fence(&self, duty: &str) -> Fence {
         self.fences.get(duty).copied().unwrap_or_default()
     }
+    pub fn leadership(&self, group: &Name) -> Leadership {
+        Leadership { fence: self.fence(&duty_of(group)), lead: self.leads.get(group).cloned() }
+    }
 }
 
 impl Told {
@@ -130,8 +133,10 @@
             Cmd::Enroll { node, .. } | Cmd::Dismiss { node, .. } => {
                 News::Node { node: node.clone(), enrolled: self.nodes.get(node).copied() }
             }
-            Cmd::TakeFence { duty, .. } | Cmd::NextFence { duty, .. } => {
-                News::Fence { duty: duty.clone(), fence: self.fence(duty) }
+            Cmd::TakeFence { duty, .. } => News::Fence { duty: duty.clone(), fence: self.fence(duty) },
+            Cmd::NextFence { group, .. } => {
+                let duty = duty_of(group);
+                News::Fence { fence: self.fence(&duty), duty }
             }
             _ => News::Other,
         };
--- a/crates/qh-state/src/store.rs
+++ b/crates/qh-state/src/store.rs
@@ -1,5 +1,5 @@
 //! What the chain's entries add up to; keepers and nodes apply the same entries to the same store (§5.2).
-use crate::msgs::{Answer, Cmd, Entry};
+use crate::msgs::{Answer, Cmd, Entry, Leadership};
 use qh_core::{ChangeNo, Code, Edition, Fence, Lead, Name, Standing, hash64, messages};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -58,6 +58,9 @@
     pub fn fence(&self, duty: &str) -> Fence {
         self.fences.get(duty).map_or(0, |f| f.0)
     }
+    pub fn leadership(&self, group: &Name) -> Leadership {
+        Leadership { fence: self.fence(&duty_of(group)), lead: self.leads.get(group).cloned() }
+    }
 
     /// Takes the entry if it is the next; `None` otherwise. The answer depends on nothing but the entries.
     pub fn apply(&mut self, e: &Entry) -> Option<Answer> {
@@ -142,13 +145,12 @@
                 }
                 Answer::Done
             }
-            Cmd::NextFence { duty, seen, .. } if self.fence(duty) != *seen => {
-                Answer::Declined(Code::FenceLow.because("another has taken one since"))
+            Cmd::TakeFence { duty, by } => self.next_fence(duty, by),
+            Cmd::NextFence { group, by, over } if self.leadership(group) == *over => {
+                self.next_fence(&duty_of(group), by)
             }
-            Cmd::TakeFence { duty, by } | Cmd::NextFence { duty, by, .. } => {
-                let f = self.fence(duty) + 1;
-                self.fences.insert(duty.clone(), (f, by.clone()));
-                Answer::Fence(f)
+            Cmd::NextFence { .. } => {
+                Answer::Declined(Code::FenceLow.because("the leadership has changed since it was planned"))
             }
             Cmd::SetLead { group, lead } => self.set_lead(group, lead),
             Cmd::Settle { group, fence } => match self.leads.get_mut(group) {
@@ -161,6 +163,12 @@
         }
     }
 
+    fn next_fence(&mut self, duty: &Name, by: &Name) -> Answer {
+        let fence = self.fence(duty) + 1;
+        self.fences.insert(duty.clone(), (fence, by.clone()));
+        Answer::Fence(fence)
+    }
+
     /// A lead is set only under the newest fence of its duty, and a closed one is never opened again. Whoever writes,
     /// lists that hold are only added to here: an entry that brings none leaves them as they are (§5.5).
     fn set_lead(&mut self, group: &Name, lead: &Lead) -> Answer {
--- a/crates/qh-state/tests/leads.rs
+++ b/crates/qh-state/tests/leads.rs
@@ -1,7 +1,7 @@
 //! Which lists of counting servers hold is kept by the chain, whoever writes what (§5.5).
 use qh_core::{Code, Fence, Lead, Name};
 use qh_state::store::duty_of;
-use qh_state::{Answer, Cmd, Entry, Store};
+use qh_state::{Answer, Cmd, Entry, Leadership, Store};
 
 #[derive(Default)]
 struct Chain(Store);
@@ -83,14 +83,33 @@
     assert_eq!(c.lists(), [names(&["b", "c", "d"])]);
 }
 
+fn next_fence(c: &mut Chain, over: &Leadership) -> Answer {
+    c.write(Cmd::NextFence { group: "g".into(), by: "n".into(), over: over.clone() })
+}
+
 /// Drawn seed 101: of two promoters that began at once, the later one took a higher fence, saw that it had come too
 /// late, and gave up; the other was overtaken by it, again and again.
 #[test]
 fn a_fence_is_not_taken_over_one_that_its_taker_has_not_seen() {
     let mut c = Chain::default();
     let one = c.take();
-    let next = |c: &mut Chain, seen| c.write(Cmd::NextFence { duty: duty_of("g"), by: "n".into(), seen });
-    assert_eq!(next(&mut c, one), Answer::Fence(one + 1));
-    assert!(matches!(next(&mut c, one), Answer::Declined(b) if b.is(Code::FenceLow)));
+    let over = Leadership { fence: one, lead: None };
+    assert_eq!(next_fence(&mut c, &over), Answer::Fence(one + 1));
+    assert!(matches!(next_fence(&mut c, &over), Answer::Declined(b) if b.is(Code::FenceLow)));
     assert_eq!(c.0.fence(&duty_of("g")), one + 1);
 }
+
+/// Drawn seed 154: a promoter that had seen the other's fence, but planned before its close, took a higher one and then
+/// saw that the lead was not the one it had planned for.
+#[test]
+fn a_fence_is_not_taken_over_a_lead_that_is_not_the_one_planned_for() {
+    let mut c = Chain::default();
+    let one = c.take();
+    c.lead(one, Some("a"), &["a", "b", "c"]);
+    let over = Leadership { fence: c.take(), lead: c.0.leads.get("g").cloned() };
+    c.lead(over.fence, None, &[]);
+    assert!(matches!(next_fence(&mut c, &over), Answer::Declined(b) if b.is(Code::FenceLow)));
+    let Answer::Lead(named) = c.lead(over.fence, Some("b"), &[]) else { panic!("it was overtaken") };
+    let over = Leadership { lead: Some(named), ..over };
+    assert_eq!(next_fence(&mut c, &over), Answer::Fence(over.fence + 1));
+}
--- a/crates/qhd/src/asked.rs
+++ b/crates/qhd/src/asked.rs
@@ -1,5 +1,5 @@
 //! What the duties of this node keep beside the blackboard: wishes, suspicions, answers, words for operators (§5.5).
-use qh_core::{Lead, Ms, Name, now, rt};
+use qh_core::{Fence, Lead, Ms, Name, now, rt};
 use std::collections::BTreeMap;
 use std::sync::Mutex;
 
@@ -15,6 +15,8 @@
     /// Questions to servers met over held links, and what they said.
     pub asking: crate::asking::Asking,
     pub settled: crate::settled::All,
+    /// The newest fence that this process took for each group.
+    own_fences: Mutex<BTreeMap<Name, Fence>>,
     pub life: Life,
     /// The last promotions, newest last, for `qh explain`.
     pub told: Mutex<Vec<String>>,
@@ -42,6 +44,13 @@
         let of = |s: &crate::settled::Settled| lead.is_some_and(|l| l.server.is_none() || l.fence == s.lead);
         self.settled.lock().unwrap().retain(|g, s| g != group || of(s));
     }
+    pub fn note_own_fence(&self, group: &Name, fence: Fence) {
+        self.own_fences.lock().unwrap().insert(group.clone(), fence);
+    }
+    /// 0 before the first.
+    pub fn own_fence(&self, group: &Name) -> Fence {
+        self.own_fences.lock().unwrap().get(group).copied().unwrap_or_default()
+    }
     /// For how long has it been told?
     pub fn suspected(&self, group: &Name, server: &Name) -> Option<Ms> {
         let all = self.suspects.lock().unwrap();
--- a/crates/qhd/src/dutyd.rs
+++ b/crates/qhd/src/dutyd.rs
@@ -1,10 +1,11 @@
 //! Duties of this node (§6.3): looks after the leads of the groups that fall to it.
 pub use crate::asked::Asked;
+use crate::group::Group;
 use crate::listd::{seen, settle_lists};
 use crate::{Fleet, groupd, minding, watching};
 use qh_control::watch::{Count, Eye, Need, Sight, dead, need, strange, to_count};
 use qh_core::rt;
-use qh_core::{Lead, Ms, Name, State, now};
+use qh_core::{Ms, Name, State, now};
 use qh_mesh::{NodeAsk, NodeRep};
 use qh_state::store::duty_of;
 use std::collections::BTreeMap;
@@ -15,24 +16,9 @@
 const TELL: Ms = 500;
 /// Statements answered within this time speak against a stall.
 const ANSWERING: Ms = 2_000;
-/// A promotion is not begun again sooner.
-const REST: Ms = 3_000;
 /// Nodes asked whether a server is silent to them too.
 const WITNESSES: usize = 15;
 
-#[derive(Default)]
-pub struct Group {
-    pub lead: Option<Lead>,
-    pub since: Ms,
-    pub wrong: Option<Ms>,
-    strange: Option<Ms>,
-    pub rest_until: Ms,
-    pub task: Option<rt::Task>,
-    pub minded: crate::watching::Minded,
-    fenced_at: Ms,
-    told_at: Ms,
-}
-
 /// What this node sees of a server.
 pub fn eye(f: &Fleet, server: &str) -> Eye {
     f.node.board.row(server).map_or_else(Eye::default, |r| {
@@ -64,10 +50,8 @@
         mine = false;
         for g in names {
             let st = groups.entry(g.clone()).or_default();
-            let lead = f.node.board.lead(&g);
-            if st.lead != lead || st.since == 0 {
-                (st.lead, st.since) = (lead, now());
-            }
+            let leadership = f.known.lock().unwrap().leadership(&g);
+            st.look(leadership, f.duty.own_fence(&g));
             let owner = qh_mesh::duty::owner(&duty_of(&g), &live);
             mine |= owner == Some(&f.mesh.me);
             f.duty.keep_settled(&g, st.lead.as_ref().filter(|_| owner == Some(&f.mesh.me)));
@@ -81,7 +65,7 @@
                 continue;
             }
             if st.task.take().is_some() {
-                st.rest_until = now() + if f.ports.is_some() { minding::REST } else { REST };
+                st.rest_until = now() + st.rest(&f, &g);
             }
             match f.ports {
                 None => look(&f, &g, st).await,
@@ -112,6 +96,7 @@
     let mut s = Sight {
         lead: st.lead.clone(),
         lead_for: now().saturating_sub(st.since),
+        begun: st.begun_for(),
         servers: rows.iter().map(|r| r.name.clone()).collect(),
         copies,
         asked: f.duty.wants.lock().unwrap().get(g).cloned(),
@@ -168,6 +153,7 @@
         by: f.mesh.me.clone(),
         attempt: format!("{}/{}/{:x}", duty_of(g), f.mesh.me, fastrand::u64(..)).into(),
         lead: s.lead.clone(),
+        over: st.over,
         old,
         servers: s.servers.clone(),
         copies: s.copies,
@@ -176,6 +162,7 @@
         counts,
         sync: None,
     };
+    st.planned_over = st.over;
     st.task = Some(rt::spawn(groupd::promote(f.clone(), plan)));
 }
 
--- /dev/null
+++ b/crates/qhd/src/group.rs
@@ -0,0 +1,61 @@
+//! What a node keeps of one group whose lead it may have to look after (§5.5).
+use crate::Fleet;
+use qh_core::{Fence, Lead, Ms, Name, now, rt};
+use qh_state::Leadership;
+
+/// A promotion is not begun again sooner.
+const REST: Ms = 3_000;
+/// ... where servers are met over held links.
+const REST_HELD: Ms = 200;
+/// ... and one that came too late for its fence, and altered nothing.
+const REST_LATE: Ms = 200;
+
+/// One group's lead as this node sees it, and what is under way for it here.
+#[derive(Default)]
+pub struct Group {
+    pub lead: Option<Lead>,
+    /// When it was first seen as it is.
+    pub since: Ms,
+    /// The newest fence of the group's duty, of the same moment as the lead.
+    pub over: Fence,
+    /// A fence above the lead's that another process took, and since when it is seen.
+    begun: Option<(Fence, Ms)>,
+    pub wrong: Option<Ms>,
+    pub strange: Option<Ms>,
+    pub rest_until: Ms,
+    pub task: Option<rt::Task>,
+    /// The newest fence at the time of planning that task.
+    pub planned_over: Fence,
+    pub minded: crate::watching::Minded,
+    pub fenced_at: Ms,
+    pub told_at: Ms,
+}
+
+impl Group {
+    /// Takes what the chain says of the group now.
+    pub fn look(&mut self, leadership: Leadership, own_fence: Fence) {
+        let Leadership { fence, lead } = leadership;
+        let written = lead.as_ref().map_or(0, |l| l.fence);
+        if fence <= written || fence == own_fence {
+            self.begun = None;
+        } else if self.begun.is_none_or(|(seen, _)| seen != fence) {
+            self.begun = Some((fence, now()));
+        }
+        if self.lead != lead || self.since == 0 {
+            (self.lead, self.since) = (lead, now());
+        }
+        self.over = fence;
+    }
+    /// For how long another's change of hands has been begun and wrote nothing.
+    pub fn begun_for(&self) -> Option<Ms> {
+        self.begun.map(|(_, at)| now() - at)
+    }
+    /// How long to wait after a promotion that has ended.
+    pub fn rest(&mut self, f: &Fleet, group: &Name) -> Ms {
+        if f.duty.own_fence(group) <= self.planned_over {
+            self.minded.cut = 0;
+            return REST_LATE;
+        }
+        if f.ports.is_some() { REST_HELD } else { REST }
+    }
+}
--- a/crates/qhd/src/groupd.rs
+++ b/crates/qhd/src/groupd.rs
@@ -1,13 +1,14 @@
 //! Drives one promotion's steps against chain, servers and platform (§5.5).
+use crate::taking::{Taken, next_fence};
 use crate::{Fleet, synced};
 use qh_control::promotion::{In, Out, Plan, Promotion};
 use qh_core::http::post;
 use qh_core::rt;
-use qh_core::{Code, Fence, Lead, Name, now};
+use qh_core::{Code, Fence, Name, now};
 use qh_data::platform::{self, Promoted};
 use qh_mesh::{NodeAsk, NodeRep};
 use qh_state::store::duty_of;
-use qh_state::{Answer, Cmd};
+use qh_state::{Answer, Cmd, Leadership};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,11 +22,10 @@
 pub async fn promote(f: Arc<Fleet>, plan: Plan) {
     let (tx, mut rx) = mpsc::unbounded_channel();
     let began = now();
-    let seen = f.known.lock().unwrap().fence(&duty_of(&plan.group));
     let (mut p, outs) = Promotion::new(began, plan.clone());
     // What is on its way is not asked again; the step asks as often as it likes.
     let mut going: BTreeSet<String> = BTreeSet::new();
-    act(&f, &plan, seen, outs, &tx, &mut going);
+    act(&f, &plan, outs, &tx, &mut going);
     while !p.over() {
         let i = rt::timeout(Duration::from_millis(50), rx.recv()).await;
         let i = match i {
@@ -36,12 +36,12 @@
             _ => In::Tick,
         };
         let outs = p.step(now(), i);
-        act(&f, &plan, seen, outs, &tx, &mut going);
+        act(&f, &plan, outs, &tx, &mut going);
     }
     f.duty.tell(format!("promotion in {} ended {:?} after {} ms", plan.group, p.phase, now() - began));
 }
 
-fn act(f: &Arc<Fleet>, plan: &Plan, seen: Fence, outs: Vec<Out>, tx: &Back, going: &mut BTreeSet<String>) {
+fn act(f: &Arc<Fleet>, plan: &Plan, outs: Vec<Out>, tx: &Back, going: &mut BTreeSet<String>) {
     for o in outs {
         let what = match &o {
             Out::Say(s) => {
@@ -60,14 +60,14 @@
         if going.insert(what.clone()) {
             let (f, plan, tx) = (f.clone(), plan.clone(), tx.clone());
             rt::spawn(async move {
-                let i = one(&f, &plan, seen, o).await;
+                let i = one(&f, &plan, o).await;
                 let _ = tx.send((what, i));
             });
         }
     }
 }
 
-async fn one(f: &Arc<Fleet>, plan: &Plan, seen: Fence, o: Out) -> In {
+async fn one(f: &Arc<Fleet>, plan: &Plan, o: Out) -> In {
     match o {
         // Servers met over held links are asked in other ways (§3.6).
         Out::FenceServer { server, .. } if f.ports.is_some() => synced::stand_still(f, plan, server).await,
@@ -83,18 +83,11 @@
         }
         Out::AskAcked => synced::acked(f, plan).await,
         Out::TakeFence { key } => {
-            let (duty, by) = (duty_of(&plan.group), plan.by.clone());
-            let cmd = match f.ports {
-                None => Cmd::NextFence { duty, by, seen },
-                Some(_) => Cmd::TakeFence { duty, by },
-            };
-            match f.chain.write(&key, cmd, WRITE).await {
-                Ok(Answer::Fence(x)) if as_planned(f, &plan.group, plan.lead.as_ref(), x).await => {
-                    In::Fence(x)
-                }
-                Ok(Answer::Fence(_)) => In::Overtaken,
-                Err(b) if b.is(Code::FenceLow) => In::Overtaken,
-                _ => In::Tick,
+            let over = Leadership { fence: plan.over, lead: plan.lead.clone() };
+            match next_fence(f, &key, &plan.group, &plan.by, over, WRITE).await {
+                Taken::Fence(fence) => In::Fence(fence),
+                Taken::TooLate => In::Overtaken,
+                Taken::InDoubt => In::Tick,
             }
         }
         Out::SetLead { key, lead } => {
@@ -116,22 +109,6 @@
     }
 }
 
-/// Is the chain's lead the one that was planned for, at the moment in which it gave this fence? Until that fence's own
-/// word it stays so. A plan may be seconds old by then, and another promotion come and gone.
-pub async fn as_planned(f: &Fleet, group: &Name, lead: Option<&Lead>, fence: Fence) -> bool {
-    let until = now() + WRITE.as_millis() as u64;
-    while now() < until {
-        {
-            let s = f.known.lock().unwrap();
-            if s.fence(&duty_of(group)) >= fence {
-                return s.leads.get(group) == lead;
-            }
-        }
-        rt::sleep(Duration::from_millis(5)).await;
-    }
-    false
-}
-
 /// Nodes that do not answer may have work under way; the drain's own bound ends the wait for them.
 async fn count_open(f: &Fleet, group: &Name) -> In {
     let live = f.mesh.live().into_iter().map(|(n, _)| n).collect();
--- a/crates/qhd/src/handing.rs
+++ b/crates/qhd/src/handing.rs
@@ -3,11 +3,11 @@
 use crate::Fleet;
 use crate::asking::{self, ask};
 use crate::synced::follow;
+use crate::taking::{Taken, next_fence};
 use qh_control::promotion::Plan;
 use qh_core::{Fence, Lead, Ms, Name, Position, Role, now, rt};
 use qh_data::port::{Call, Promoted};
-use qh_state::store::duty_of;
-use qh_state::{Answer, Cmd};
+use qh_state::{Cmd, Leadership};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -79,11 +79,13 @@
     wanted.or_else(|| all.iter().max_by_key(|(end, _)| *end)).map(|(_, s)| s.clone())
 }
 
+/// Under a key of its own: a promotion that goes on where this came to no end takes another fence, as the platform may
+/// have been told of the heir under this one.
 async fn take_fence(f: &Fleet, plan: &Plan) -> Option<Fence> {
-    let cmd = Cmd::TakeFence { duty: duty_of(&plan.group), by: plan.by.clone() };
-    match f.chain.write(&format!("{}/fence", plan.attempt), cmd, WRITE).await {
-        Ok(Answer::Fence(x)) => Some(x),
-        _ => None,
+    let over = Leadership { fence: plan.over, lead: plan.lead.clone() };
+    match next_fence(f, &format!("{}/hand", plan.attempt), &plan.group, &plan.by, over, WRITE).await {
+        Taken::Fence(fence) => Some(fence),
+        Taken::TooLate | Taken::InDoubt => None,
     }
 }
 
--- a/crates/qhd/src/lib.rs
+++ b/crates/qhd/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod desk;
 pub mod dutyd;
 pub mod feed;
+mod group;
 pub mod groupd;
 pub mod handing;
 pub mod listd;
@@ -16,6 +17,7 @@
 pub mod rolld;
 pub mod settled;
 pub mod synced;
+mod taking;
 pub mod watching;
 
 use qh_core::rt;
--- a/crates/qhd/src/minding.rs
+++ b/crates/qhd/src/minding.rs
@@ -1,21 +1,21 @@
 //! Looks after the lead of one group whose servers are met over held links (§3.6, §5.5): few questions, from one node.
-use crate::dutyd::{Group, others_see};
+use crate::dutyd::others_see;
+use crate::group::Group;
+use crate::taking::{Taken, next_fence};
 use crate::watching::{LEAD, mend, watch};
 use crate::{Fleet, groupd, handing, settled};
 use qh_control::promotion::Plan;
 use qh_control::sync::{self, dead, need};
 use qh_control::watch::{Need, Sight};
-use qh_core::{Lead, Ms, Name, Role, State, now, rt};
+use qh_core::{Fence, Lead, Ms, Name, Role, State, now, rt};
 use qh_data::board::ServerRow;
 use qh_state::store::duty_of;
-use qh_state::{Answer, Cmd};
+use qh_state::{Cmd, Leadership};
 use std::sync::Arc;
 use std::time::Duration;
 
 /// How often it is found out up to where all servers hold what was acknowledged.
 const SETTLE: Ms = 3_000;
-/// A promotion is not begun again sooner.
-pub const REST: Ms = 200;
 /// A lead that no replica hears is replaced no oftener.
 const CUT_REST: Ms = 15_000;
 /// Without exactly one server that says it leads, a first lead is chosen after so long.
@@ -70,6 +70,7 @@
     let mut s = Sight {
         lead: st.lead.clone(),
         lead_for: now().saturating_sub(st.since),
+        begun: st.begun_for(),
         servers: rows.iter().map(|r| r.name.clone()).collect(),
         asked: f.duty.wants.lock().unwrap().get(g).cloned(),
         ..Default::default()
@@ -103,6 +104,9 @@
         return;
     }
     if st.lead.is_none() {
+        if st.begun_for().is_some_and(|ms| ms < sync::STUCK) {
+            return;
+        }
         return first(f, g, &rows, st);
     }
     let s = sight(f, g, &rows, st);
@@ -150,6 +154,7 @@
         by: f.mesh.me.clone(),
         attempt: format!("{}/{}/{:x}", duty_of(g), f.mesh.me, fastrand::u64(..)).into(),
         lead: st.lead.clone(),
+        over: st.over,
         old,
         servers: rows.iter().map(|r| r.name.clone()).collect(),
         copies: rows.len(),
@@ -159,9 +164,12 @@
         sync: Some(group),
     };
     let f = f.clone();
+    st.planned_over = st.over;
     st.task = Some(rt::spawn(async move {
-        // Where the hand-over came to no end, whoever looks next sees what is left of it.
+        let mut plan = plan;
         if !plan.planned || !handing::over(&f, &plan).await {
+            // A hand-over that came to no end took a fence, over which this goes on.
+            plan.over = plan.over.max(f.duty.own_fence(&plan.group));
             groupd::promote(f, plan).await;
         }
     }));
@@ -200,21 +208,19 @@
         if sure {
             let (f, g, one) = (f.clone(), g.clone(), one.clone());
             let counts = rows.iter().map(|r| r.name.clone()).collect();
-            st.task = Some(rt::spawn(adopt(f, g, one, counts)));
+            st.planned_over = st.over;
+            st.task = Some(rt::spawn(adopt(f, g, one, counts, st.over)));
         }
     } else if now() >= st.since + FIRST {
         promote(f, g, rows, st, None, false);
     }
 }
 
-async fn adopt(f: Arc<Fleet>, g: Name, server: Name, counts: Vec<Name>) {
+async fn adopt(f: Arc<Fleet>, g: Name, server: Name, counts: Vec<Name>, over: Fence) {
     let by = f.mesh.me.clone();
     let key = format!("{}/{by}/first/{:x}", duty_of(&g), fastrand::u64(..));
-    let take = Cmd::TakeFence { duty: duty_of(&g), by: by.clone() };
-    let Ok(Answer::Fence(fence)) = f.chain.write(&key, take, WRITE).await else { return };
-    if !groupd::as_planned(&f, &g, None, fence).await {
-        return;
-    }
+    let over = Leadership { fence: over, lead: None };
+    let Taken::Fence(fence) = next_fence(&f, &key, &g, &by, over, WRITE).await else { return };
     let lead = Lead { fence, server: Some(server.clone()), by, counts, ..Default::default() };
     let named = f.chain.write(&format!("{key}/name"), Cmd::SetLead { group: g.clone(), lead }, WRITE).await;
     f.duty.tell(format!("server {server} leads {g} and is named under fence {fence}: {}", named.is_ok()));
--- /dev/null
+++ b/crates/qhd/src/taking.rs
@@ -0,0 +1,36 @@
+//! Takes the fence of a group's duty, over the leadership that was planned for and no other (§5.4).
+use crate::Fleet;
+use qh_core::{Code, Fence, Name};
+use qh_state::{Answer, Cmd, Leadership};
+use std::time::Duration;
+
+/// How the try for a fence went.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    Fence(Fence),
+    /// The leadership is not what was planned for any more: another was first, and nothing was altered.
+    TooLate,
+    /// The chain did not answer: the same key may be tried again.
+    InDoubt,
+}
+
+/// Takes the next fence. Of several that plan over one leadership the chain gives it to one; the others alter nothing,
+/// so whoever has it is overtaken only by a plan that was made in sight of it.
+pub async fn next_fence(
+    f: &Fleet,
+    key: &str,
+    group: &Name,
+    by: &Name,
+    over: Leadership,
+    within: Duration,
+) -> Taken {
+    let cmd = Cmd::NextFence { group: group.clone(), by: by.clone(), over };
+    match f.chain.write(key, cmd, within).await {
+        Ok(Answer::Fence(fence)) => {
+            f.duty.note_own_fence(group, fence);
+            Taken::Fence(fence)
+        }
+        Err(b) if b.is(Code::FenceLow) => Taken::TooLate,
+        _ => Taken::InDoubt,
+    }
+}
--- a/crates/qhd/src/watching.rs
+++ b/crates/qhd/src/watching.rs
@@ -1,6 +1,6 @@
 //! Few questions to servers met over held links, from the node that looks after their group (§3.6, §5.5).
 use crate::asking::ask;
-use crate::dutyd::Group;
+use crate::group::Group;
 use crate::{Fleet, synced};
 use qh_control::sync::Mark;
 use qh_core::{Ms, Name, Role, now, rt};
