--- a/crates/qh-state/src/feed.rs
+++ b/crates/qh-state/src/feed.rs
@@ -1,9 +1,9 @@
 //! What the tail tells nodes: of each entry that alone which they act on, and blueprints as what changed of the one
 //! before (§5.10).
 use crate::keeper::Keeper;
-use crate::messages::{Answer, Command, Entry, Reply};
+use crate::messages::{Answer, Command, Entry, Leadership, Reply};
 use crate::patch::{Packed, Patch};
-use crate::store::{Store, stand};
+use crate::store::{Store, duty_of, stand};
 use crate::terms::{LOG_KEEP, NEWS_BYTES};
 use qh_core::{ChangeNo, Fence, Lead, Ms, Name, ServerRecord, Version, messages};
 use std::collections::{BTreeMap, VecDeque};
@@ -102,6 +102,9 @@
     pub fn fence(&self, duty: &str) -> Fence {
         self.fences.get(duty).copied().unwrap_or_default()
     }
+    pub fn leadership(&self, group: &Name) -> Leadership {
+        Leadership { fence: self.fence(&duty_of(group)), lead: self.leads.get(group).cloned() }
+    }
 }
 
 impl FeedSnapshot {
@@ -142,9 +145,13 @@
             Command::Enroll { node, .. } | Command::Dismiss { node, .. } => {
                 FeedEvent::Node { node: node.clone(), enrolled: self.nodes.get(node).copied() }
             }
-            Command::TakeFence { duty, .. } | Command::NextFence { duty, .. } => {
+            Command::TakeFence { duty, .. } => {
                 FeedEvent::Fence { duty: duty.clone(), fence: self.fence(duty) }
             }
+            Command::NextFence { group, .. } => {
+                let duty = duty_of(group);
+                FeedEvent::Fence { fence: self.fence(&duty), duty }
+            }
             _ => FeedEvent::Other,
         };
         Some((a, news))
