--- a/crates/qh-state/src/chain.rs
+++ b/crates/qh-state/src/chain.rs
@@ -1,7 +1,7 @@
 //! Replication along the chain: passing entries down, acknowledging up, catching up (§5.2, §5.3).
 use crate::entry_log::PackedEntry;
 use crate::keeper::{Keeper, Output, Record};
-use crate::messages::{Answer, Command, Entry, LeaseRow, PeerMessage, View};
+use crate::messages::{Answer, Command, Entry, PeerMessage, View};
 use crate::snapshot::{OutgoingSnapshot, SnapshotPart, SnapshotProgress};
 use crate::store::Store;
 use crate::terms::{NODE_LEASE, TRANSFER_BYTES, VIEW_LEASE, outlast};
@@ -45,33 +45,6 @@
         }
     }
 
-    /// Tells the tail which leases this keeper granted when it was the tail of the view before. It grants and serves
-    /// no more.
-    pub(crate) fn hand_over_leases(&mut self) {
-        let (Some(granted), Some(tail)) = (&self.granted, self.view.tail().cloned()) else { return };
-        let version = self.view.version;
-        let (rows, unknown_leases) = (granted.rows(self.now), granted.unknown_leases(self.now));
-        self.send(&tail, PeerMessage::Leases { version, rows, unknown_leases });
-    }
-
-    /// What the tail before granted, from itself. That it stands in this view means that it serves no more, and it had
-    /// outlasted every tail before it: there is nothing left to wait for.
-    pub(crate) fn take_over_leases(&mut self, from: &Name, version: Version, rows: &[LeaseRow], unknown: Ms) {
-        // Once it has served in this view it has granted leases itself, perhaps in an earlier life.
-        if version != self.view.version || self.served == version || !self.is_tail() {
-            return;
-        }
-        let was_tail = self.previous_view.as_ref().is_some_and(|v| v.tail() == Some(from));
-        if !was_tail && self.view.neighbour(&self.me, -1) != Some(from) {
-            return;
-        }
-        let now = self.now;
-        self.leases().handed(now, rows, unknown);
-        if was_tail {
-            self.wait_until = now;
-        }
-    }
-
     pub(crate) fn ack(&self) -> PeerMessage {
         PeerMessage::Ack { version: self.view.version, committed: self.committed, in_force: self.in_force }
     }
--- a/crates/qh-state/src/keeper.rs
+++ b/crates/qh-state/src/keeper.rs
@@ -7,7 +7,7 @@
 use crate::membership::Leaving;
 use crate::messages::{PeerMessage, View};
 use crate::patch::Packed;
-use crate::register::{Acceptor, Proposer, ProposerAction};
+use crate::register::{Acceptor, Proposer};
 use crate::requests::{PendingPoll, PendingWrite};
 use crate::snapshot::{IncomingSnapshot, OutgoingSnapshot};
 pub use crate::step::{Input, Output, Record, RecoveredState};
@@ -225,34 +225,6 @@
         }
     }
 
-    /// Answers a proposer whose base is known here by now.
-    fn vote(&mut self, proposer: &Name, message: &PeerMessage) {
-        let Some((answer, changed)) = self.acceptor.step(self.view.version, message) else { return };
-        if changed {
-            self.out.push(Output::Persist(Record::Acceptor { acceptor: self.acceptor.clone() }));
-        }
-        self.send(proposer, answer);
-    }
-
-    /// A proposal of this keeper's is decided: those that vote hear it by heartbeat, those that no longer do are told.
-    fn announce(&mut self, view: View, base: &View) {
-        self.out.push(Output::Say(format!("view {} is agreed: {}", view.version, view.members.join(" "))));
-        self.adopt(view.clone());
-        self.beat();
-        for machine in base.machines.iter().filter(|m| !view.is_voter(&m.name)) {
-            self.send(&machine.name, PeerMessage::CurrentView { view: view.clone() });
-        }
-    }
-
-    pub(crate) fn actions(&mut self, actions: Vec<ProposerAction>) {
-        for action in actions {
-            match action {
-                ProposerAction::Send(to, m) => self.send(&to, m),
-                ProposerAction::Decided { view, base } => self.announce(view, &base),
-            }
-        }
-    }
-
     fn tick(&mut self) {
         self.discover();
         if self.now >= self.next_beat && !self.outside_view() {
--- a/crates/qh-state/src/lib.rs
+++ b/crates/qh-state/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod host;
 pub mod keeper;
 pub mod lease;
+mod lease_handover;
 mod membership;
 pub mod messages;
 pub mod packed;
@@ -29,6 +30,7 @@
 mod step;
 pub mod store;
 pub mod terms;
+mod voting;
 
 pub use discovery::DiscoverySettings;
 pub use feed::{Change, FeedEvent, FeedSnapshot, FeedState};
--- a/crates/qh/src/show.rs
+++ b/crates/qh/src/show.rs
@@ -62,6 +62,24 @@
     }
 }
 
+/// Whether a keeper votes on views, and whether it is in the chain.
+fn place(view: &Value, keeper: &Value) -> String {
+    let is_voter = list(view, "machines").any(|m| m["name"] == keeper["name"]);
+    let is_member = list(view, "members").any(|m| *m == keeper["name"]);
+    match (is_member, is_voter) {
+        (true, _) => "member".into(),
+        (false, true) => "votes only".into(),
+        (false, false) => "outside".into(),
+    }
+}
+
+/// How many changes a keeper lacks of what the furthest one holds.
+fn behind(status: &Value, keeper: &Value) -> String {
+    let held = |k: &Value| k["n"].as_u64();
+    let most = list(status, "keepers").filter_map(held).max();
+    most.zip(held(keeper)).map_or_else(String::new, |(most, n)| (most - n).to_string())
+}
+
 fn status(v: &Value) -> String {
     let view = &v["view"];
     let members: Vec<String> = list(view, "members").map(s).collect();
@@ -75,9 +93,15 @@
     let ks = list(v, "keepers").map(|k| {
         let why = if k["silent"] == true { "silent".into() } else { s(&k["why"]) };
         let disk = disk_used(&k["disk"]);
-        vec![s(&k["name"]), s(&k["addr"]), s(&k["n"]), s(&k["committed"]), s(&k["in_force"]), disk, why]
+        let (place, behind) = (place(view, k), behind(v, k));
+        let held = ["n", "committed", "in_force"].map(|field| s(&k[field]));
+        let mut row = vec![s(&k["name"]), s(&k["addr"]), place];
+        row.extend(held);
+        row.extend([behind, disk, why]);
+        row
     });
-    out += &rows(&["KEEPER", "ADDRESS", "CHANGE", "COMMITTED", "IN FORCE", "DISK", "STATE"], ks.collect());
+    let head = ["KEEPER", "ADDRESS", "PLACE", "CHANGE", "COMMITTED", "IN FORCE", "BEHIND", "DISK", "STATE"];
+    out += &rows(&head, ks.collect());
     let ls = list(v, "leads").map(|l| cells(l, &["group", "server", "fence", "by"]));
     out += "\n";
     out += &rows(&["GROUP", "LEAD", "FENCE", "BY"], ls.collect());
