--- a/crates/qh-state/src/requests.rs
+++ b/crates/qh-state/src/requests.rs
@@ -196,16 +196,4 @@
     fn known_for(&self, n: ChangeNo) -> Option<Ms> {
         self.known.iter().find(|k| k.0 >= n).map(|k| self.now - k.1)
     }
-
-    /// Where a machine is reached: one that a view under way brings in is not in the present one yet.
-    pub fn addr(&self, name: &str) -> Option<Name> {
-        let half = self.acceptor.accepted.as_ref().and_then(|(_, v)| v.addr(name));
-        let before = self.previous_view.as_ref().and_then(|v| v.addr(name));
-        self.view
-            .addr(name)
-            .or(half)
-            .cloned()
-            .or_else(|| self.candidate_addr(name))
-            .or_else(|| before.cloned())
-    }
 }
--- a/crates/qh-state/src/status.rs
+++ b/crates/qh-state/src/status.rs
@@ -1,11 +1,18 @@
-//! What a keeper tells of itself (§5.3).
+//! What a keeper tells operators of itself.
 use crate::keeper::Keeper;
 use crate::messages::{KeeperStatus, LogSize};
 
 impl Keeper {
+    /// Its place, what it holds, and why it does or does not serve.
     pub fn status(&self) -> KeeperStatus {
-        let why = if !self.view.has(&self.me) {
+        let why = if self.leaving.is_some() {
+            "leaving"
+        } else if !self.view.has(&self.me) && self.invitation.is_some() {
+            "invited, fetches the store"
+        } else if !self.view.has(&self.me) {
             "outside the view"
+        } else if self.catching_up {
+            "catching up"
         } else if !self.is_tail() {
             "in the chain"
         } else if !self.joined {
