Keeper, chain and host have one job each; the reserve declines new documents only

Change: transfer.rs, peer_messages.rs and stale_reply.rs take what moved as it stood; the reserve is looked at where a new entry would be made.

--- a/crates/qh-state/src/host.rs
+++ b/crates/qh-state/src/host.rs
@@ -3,6 +3,7 @@
 use crate::disk_port::DiskUsage;
 use crate::keeper::Keeper;
 use crate::messages::{KeeperStatus, Reply, Request, View};
+use crate::stale_reply;
 use crate::step::{Input, Output, Record, RecoveredState};
 use qh_core::{Code, Error, Ms, Name};
 use std::collections::BTreeSet;
@@ -12,7 +13,7 @@
 /// What clients of a suspended keeper are told to wait.
 const RETRY_AFTER: Ms = 1_000;
 /// What a client whose write was under way is told to wait.
-const RETRY_PENDING: Ms = 500;
+pub(crate) const RETRY_PENDING: Ms = 500;
 
 /// Makes a keeper of what its disk holds.
 pub type KeeperFactory = Box<dyn Fn(RecoveredState, Ms) -> Keeper + Send>;
@@ -197,7 +198,9 @@
         let is_stale_tail = keeper.is_tail() && !keeper.commits();
         let view = &keeper.view;
         let recheck = |output: Output| match output {
-            Output::Reply(token, reply) if is_stale_tail => Output::Reply(token, without_lease(reply, view)),
+            Output::Reply(token, reply) if is_stale_tail => {
+                Output::Reply(token, stale_reply::without_lease(reply, view))
+            }
             other => other,
         };
         outputs.into_iter().map(recheck).collect()
@@ -239,18 +242,3 @@
         }
     }
 }
-
-/// A reply as it may still be given by a tail whose lease has ended: reads and leases are to be asked for elsewhere, and
-/// a write that was committed under that lease is to be asked for again.
-fn without_lease(reply: Reply, view: &View) -> Reply {
-    match reply {
-        Reply::Changes { .. } | Reply::Snapshot { .. } | Reply::Store { .. } | Reply::Adopted { .. } => {
-            Reply::Elsewhere { view: view.clone() }
-        }
-        Reply::Answer { .. } => {
-            let why = Code::ChainDown.because("the lease ended while the disk was written").unknown();
-            Reply::Declined { why: why.retry(RETRY_PENDING) }
-        }
-        other => other,
-    }
-}
--- a/crates/qh-state/src/lib.rs
+++ b/crates/qh-state/src/lib.rs
@@ -20,15 +20,18 @@
 pub mod messages;
 pub mod packed;
 pub mod patch;
+mod peer_messages;
 mod peers;
 pub mod register;
 mod repair;
 mod requests;
 pub mod snapshot;
+mod stale_reply;
 mod status;
 mod step;
 pub mod store;
 pub mod terms;
+mod transfer;
 
 pub use discovery::DiscoverySettings;
 pub use feed::{Change, FeedEvent, FeedSnapshot, FeedState};
--- a/crates/qh-state/src/membership.rs
+++ b/crates/qh-state/src/membership.rs
@@ -197,7 +197,7 @@
         }
         let keeps_vote = self.view.is_voter(&self.me);
         let may_hand_over = self.now < leaving.since + HAND_OVER && !self.candidates().is_empty();
-        !self.view.has(&self.me) && !(keeps_vote && may_hand_over)
+        !(self.view.has(&self.me) || keeps_vote && may_hand_over)
     }
 
     /// Whatever is committed is on another member's disk too. A tail's forerunners hold all that it has; so do all
--- a/crates/qh-state/src/requests.rs
+++ b/crates/qh-state/src/requests.rs
@@ -97,13 +97,13 @@
                 why: Code::ChainDown.because("too many writes wait").retry(1_000),
             });
         }
-        if self.disk_usage.is_reserve_touched() && cmd.is_document() {
-            let why = Code::ChainDown.because("the disk is nearly full").retry(1_000);
-            return Some(Reply::Declined { why });
-        }
         let ends = AckLevel::of(&cmd);
         let (n, answer, contact_after) = match self.recorded_answer(&key, &cmd) {
             Some(recorded) => (recorded.entry, recorded.answer, Some(self.request_contact(&cmd))),
+            None if self.disk_usage.is_reserve_touched() && cmd.is_document() => {
+                let why = Code::ChainDown.because("the disk is nearly full").retry(1_000);
+                return Some(Reply::Declined { why });
+            }
             None => {
                 let had = self.store.n;
                 let e = Entry { n: had + 1, key, cmd };
--- /dev/null
+++ b/crates/qh-state/src/stale_reply.rs
@@ -0,0 +1,19 @@
+//! Replies that rested on a lease which has ended before they left (§5.7).
+use crate::host::RETRY_PENDING;
+use crate::messages::{Reply, View};
+use qh_core::Code;
+
+/// A reply as it may still be given by a tail whose lease has ended: reads and leases are to be asked for elsewhere, and
+/// a write that was committed under that lease is to be asked for again.
+pub(crate) fn without_lease(reply: Reply, view: &View) -> Reply {
+    match reply {
+        Reply::Changes { .. } | Reply::Snapshot { .. } | Reply::Store { .. } | Reply::Adopted { .. } => {
+            Reply::Elsewhere { view: view.clone() }
+        }
+        Reply::Answer { .. } => {
+            let why = Code::ChainDown.because("the lease ended while the disk was written").unknown();
+            Reply::Declined { why: why.retry(RETRY_PENDING) }
+        }
+        other => other,
+    }
+}
--- /dev/null
+++ b/crates/qh-state/src/transfer.rs
@@ -0,0 +1,97 @@
+//! The whole store from one keeper to another, in parts, and the questions that ask for what comes next (§5.7).
+use crate::keeper::{Keeper, Output, Record};
+use crate::messages::PeerMessage;
+use crate::snapshot::{OutgoingSnapshot, SnapshotPart, SnapshotProgress};
+use crate::store::Store;
+use qh_core::{Ms, Name, Version};
+
+impl Keeper {
+    /// Asks the forerunner for what comes next.
+    pub(crate) fn request_next(&mut self, from: &Name) {
+        let progress = self.incoming_snapshot.progress(from);
+        let need = PeerMessage::Need { version: self.view.version, n: self.store.n, progress };
+        self.send(from, need);
+    }
+
+    /// The next part of a snapshot; an older one is sent to its end as long as the log follows on it.
+    pub(crate) fn snapshot_message(&mut self, join: bool, progress: SnapshotProgress) -> PeerMessage {
+        let (log, n) = (&self.log, self.store.n);
+        let follows = |sent: &OutgoingSnapshot| sent.n() == n || log.reaches_back_to(sent.n());
+        let snapshot = match self.outgoing_snapshot.take().filter(follows) {
+            Some(sent) => sent,
+            None => OutgoingSnapshot::of(&self.store),
+        };
+        let part = self.outgoing_snapshot.insert(snapshot).part_after(progress);
+        let left = |until: &Ms| until.saturating_sub(self.now);
+        let dismissed_leases =
+            self.dismissed_leases.iter().map(|(n, until)| (n.clone(), left(until))).collect();
+        let (version, unknown_leases) = (self.view.version, left(&self.unknown_leases_until));
+        PeerMessage::Snapshot { version, part, join, dismissed_leases, unknown_leases }
+    }
+
+    pub(crate) fn fetch(&mut self, from: &Name, _ed: Version, progress: SnapshotProgress) {
+        if self.serving() && !self.view.has(from) {
+            let m = self.snapshot_message(true, progress);
+            self.send(from, m);
+        }
+    }
+
+    /// Part of the whole store, from the tail (to join) or from my forerunner (its log did not reach back to me). Was
+    /// the store taken?
+    pub(crate) fn take_snapshot_part(
+        &mut self,
+        from: &Name,
+        ed: Version,
+        part: SnapshotPart,
+        join: bool,
+    ) -> bool {
+        if ed != self.view.version {
+            return false;
+        }
+        let member = self.view.has(&self.me);
+        let takes = if join { !member } else { member && self.view.neighbour(&self.me, -1) == Some(from) };
+        if !takes || (!join && part.id.n <= self.store.n) || !self.incoming_snapshot.take(from, part) {
+            return false;
+        }
+        if let Some(store) = self.incoming_snapshot.finish() {
+            return self.install_snapshot(store, join);
+        }
+        match join {
+            true => self.fetch_next(from),
+            false => self.request_next(from),
+        }
+        false
+    }
+
+    /// Takes the whole store in place of its own. One that is to join proposes the view in which it has its place;
+    /// without a place to go to it takes nothing.
+    fn install_snapshot(&mut self, store: Store, join: bool) -> bool {
+        let entering = if join { self.view_to_enter() } else { None };
+        if join && entering.is_none() {
+            return false;
+        }
+        self.store = store;
+        self.log.clear();
+        self.news.clear();
+        self.committed = 0;
+        self.in_force = 0;
+        self.out.push(Output::Persist(Record::Snapshot { store: Box::new(self.store.clone()) }));
+        if let Some(view) = entering {
+            self.set_catching_up(true);
+            self.propose(view);
+            return true;
+        }
+        self.joined = true;
+        self.set_catching_up(false);
+        self.pass_on(self.store.n);
+        true
+    }
+
+    /// Asks the tail for the next part of its store.
+    pub(crate) fn fetch_next(&mut self, tail: &Name) {
+        self.fetched = self.now;
+        let progress = self.incoming_snapshot.progress(tail);
+        let m = PeerMessage::Fetch { version: self.view.version, progress };
+        self.send(tail, m);
+    }
+}
