--- a/crates/qh-state/src/chain.rs
+++ b/crates/qh-state/src/chain.rs
@@ -143,7 +143,7 @@
     }
 
     pub(crate) fn fetch(&mut self, from: &Name, _ed: Version) {
-        if self.serving() && !self.view.has(from) {
+        if self.serving() && !self.view.has(from) && self.view.is_voter(from) {
             let m = self.snapshot_message(true);
             self.send(from, m);
         }
@@ -155,7 +155,8 @@
             return false;
         }
         let member = self.view.has(&self.me);
-        let takes = if join { !member } else { member && self.view.neighbour(&self.me, -1) == Some(from) };
+        let joins = !member && self.view.is_voter(&self.me);
+        let takes = if join { joins } else { member && self.view.neighbour(&self.me, -1) == Some(from) };
         if !takes || (!join && store.n <= self.store.n) {
             return false;
         }
