Frame headers: shorter incarnations, and names of groups as in rumors

A kept connection ends with its process, so 16 bits of incarnation only back that up. A test holds the headers' lengths.

--- a/crates/qh-core/src/wire/frame.rs
+++ b/crates/qh-core/src/wire/frame.rs
@@ -8,8 +8,10 @@
 pub const FRAME_MAX: usize = 4 << 20;
 /// Bytes of the length before each frame.
 pub const LENGTH_BYTES: usize = 3;
-/// Bytes of a frame before its message: version and kind, then either header.
-pub const HEADER_BYTES: usize = 11;
+/// Bytes of a request before its message: version and kind, then the header.
+pub const REQUEST_HEADER_BYTES: usize = 11;
+/// The same of an answer.
+pub const ANSWER_HEADER_BYTES: usize = 9;
 /// The version of this layout, in the upper half of a frame's first byte.
 pub const PROTOCOL_VERSION: u8 = 2;
 
--- a/crates/qh-core/src/wire/identity.rs
+++ b/crates/qh-core/src/wire/identity.rs
@@ -10,8 +10,8 @@
 pub struct ProcessId {
     /// Hash of the name, the same over restarts.
     pub name: u32,
-    /// Drawn at random at each start.
-    pub incarnation: u32,
+    /// Drawn at random at each start. Short, as it only backs up what a connection proves: it ends with its process.
+    pub incarnation: u16,
 }
 
 impl ProcessId {
@@ -46,7 +46,7 @@
     }
     /// A process of that name in a given incarnation.
     pub fn with_incarnation(name: &str, incarnation: u64) -> Identity {
-        let id = ProcessId { name: name_tag(name), incarnation: fold(incarnation) };
+        let id = ProcessId { name: name_tag(name), incarnation: fold(incarnation) as u16 };
         Identity { name: name.into(), id }
     }
     /// Its name.
--- a/crates/qh-core/src/wire/mod.rs
+++ b/crates/qh-core/src/wire/mod.rs
@@ -14,8 +14,8 @@
 pub use caller::{Caller, Connector, Destination, Tcp};
 pub use error::CallError;
 pub use frame::{
-    AnswerHeader, FRAME_MAX, FrameKind, HEADER_BYTES, Incoming, LENGTH_BYTES, PROTOCOL_VERSION,
-    RequestHeader, encode, read_frame, write_frame,
+    ANSWER_HEADER_BYTES, AnswerHeader, FRAME_MAX, FrameKind, Incoming, LENGTH_BYTES, PROTOCOL_VERSION,
+    REQUEST_HEADER_BYTES, RequestHeader, encode, read_frame, write_frame,
 };
 pub use identity::{Identity, ProcessId};
 pub use server::{Received, answer_to, receive, respond, serve};
--- a/crates/qh-data/tests/fake/mod.rs
+++ b/crates/qh-data/tests/fake/mod.rs
@@ -26,6 +26,7 @@
     /// It runs and nobody says so.
     Silent,
     /// None: it runs and is answered.
+    #[allow(dead_code, reason = "not each test file that has this module draws it")]
     Run,
 }
 
--- a/crates/qh-lab/src/capacity/parts.rs
+++ b/crates/qh-lab/src/capacity/parts.rs
@@ -1,6 +1,6 @@
 //! Parts of a node alone, at the planned size itself: one pass of each, without a fleet around it.
 use super::{blueprint, cost, names, standing};
-use qh_core::wire::{HEADER_BYTES, LENGTH_BYTES};
+use qh_core::wire::{ANSWER_HEADER_BYTES, LENGTH_BYTES};
 use qh_core::{Lead, Name};
 use qh_data::board::Plan;
 use qh_mesh::{Life, Mesh, Rumor, duty};
@@ -92,7 +92,8 @@
 }
 
 fn frame(rep: Reply) -> f64 {
-    borsh::to_vec(&KeeperResponse::Reply { rep }).map_or(0, |b| b.len() + LENGTH_BYTES + HEADER_BYTES) as f64
+    borsh::to_vec(&KeeperResponse::Reply { rep }).map_or(0, |b| b.len() + LENGTH_BYTES + ANSWER_HEADER_BYTES)
+        as f64
 }
 
 /// Bytes in a frame: the whole store; all that a node is told that begins; one adopted configuration of which a rule
--- a/crates/qh-lab/src/capacity/tail.rs
+++ b/crates/qh-lab/src/capacity/tail.rs
@@ -1,7 +1,7 @@
 //! A tail alone before the polls of many nodes, in virtual time: its processor time and its answers' bytes (§5.2).
 use super::{cost, names, standing};
 use qh_core::Name;
-use qh_core::wire::{HEADER_BYTES, LENGTH_BYTES};
+use qh_core::wire::{LENGTH_BYTES, REQUEST_HEADER_BYTES};
 use qh_state::keeper::{Input, Output, RecoveredState};
 use qh_state::{
     Command, Entry, Keeper, KeeperRequest, KeeperResponse, Machine, PeerMessage, Reply, Request, View,
@@ -176,6 +176,6 @@
     };
     let entries = (1..=n).map(one).collect();
     let m = PeerMessage::Pass { version: 1, prev: 0, entries, end: n };
-    let before = LENGTH_BYTES + HEADER_BYTES;
+    let before = LENGTH_BYTES + REQUEST_HEADER_BYTES;
     borsh::to_vec(&KeeperRequest::Peer { from: "k0".into(), m }).map_or(0, |b| b.len() + before)
 }
--- a/crates/qh-mesh/src/msgs.rs
+++ b/crates/qh-mesh/src/msgs.rs
@@ -51,7 +51,11 @@
         Report { what: Name, key: Name },
         /// Where does what that node passed on as acknowledged end? Nothing sent under a lower fence is passed on after
         /// the answer (§5.5).
-        Acked { group: Name, fence: Fence }
+        Acked {
+            #[borsh(serialize_with = "short::serialize", deserialize_with = "short::deserialize")]
+            group: Name,
+            fence: Fence
+        }
     }
 
     pub enum NodeRep {
--- a/crates/qh-mesh/src/short.rs
+++ b/crates/qh-mesh/src/short.rs
@@ -1,4 +1,4 @@
-//! Names in rumors, which every letter carries: one byte of length where a name is short, as nearly all are.
+//! Names in the messages that nodes send most: one byte of length where a name is short, as nearly all are.
 use borsh::io::{Error, ErrorKind, Read, Result, Write};
 use borsh::{BorshDeserialize, BorshSerialize};
 use qh_core::Name;
