--- a/crates/qh-state/tests/join_as_voter.rs
+++ b/crates/qh-state/tests/join_as_voter.rs
@@ -4,6 +4,7 @@
 use kit::{Net, machine};
 use qh_core::Name;
 use qh_state::keeper::Input;
+use qh_state::snapshot::SnapshotProgress;
 use qh_state::{PeerMessage, View};
 
 /// `c:1` was cut off, and `d:1` took its place. The answer to what it asked of the tail before that comes late.
@@ -20,10 +21,10 @@
     }
     net.run(3_000);
     assert_eq!(net.tail().as_deref(), Some("b:1"));
-    let store = Box::new(net.ks["b:1"].store.clone());
-    let m =
-        PeerMessage::Snapshot { version: 3, store, join: true, dismissed_leases: vec![], unknown_leases: 0 };
-    net.step("c:1", Input::Peer { from: "b:1".into(), m });
+    let m = PeerMessage::Fetch { version: 3, progress: SnapshotProgress::default() };
+    net.step("b:1", Input::Peer { from: "c:1".into(), m });
+    let answered = |m: &PeerMessage| matches!(m, PeerMessage::Snapshot { join: true, .. });
+    assert!(net.wire.iter().any(|(_, to, m)| to == "c:1" && answered(m)), "the tail sends its store");
     net.run(3_000);
     assert!(!net.view("a:1").has("c:1"), "{:?}", net.view("a:1"));
     assert_eq!(net.tail().as_deref(), Some("b:1"));
