--- a/crates/qh-core/src/wire/caller.rs
+++ b/crates/qh-core/src/wire/caller.rs
@@ -3,8 +3,7 @@
 use crate::wire::frame::{
     AnswerHeader, FrameKind, Incoming, RequestHeader, encode, invalid, read_frame, write_frame,
 };
-use crate::wire::identity::{ANY_RECEIVER, name_tag};
-use crate::wire::{Call, CallError, Identity, ProcessId, Repeat};
+use crate::wire::{Call, CallError, Destination, Identity, ProcessId, Repeat};
 use compact_str::format_compact;
 use std::collections::HashMap;
 use std::future::Future;
@@ -41,32 +40,6 @@
     }
 }
 
-/// Whom a call is meant for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Destination<'a> {
-    /// Where it is sent.
-    pub addr: &'a str,
-    /// Which process is meant; none: whichever listens there.
-    pub name: Option<&'a str>,
-}
-
-impl<'a> Destination<'a> {
-    /// Whichever process listens at the address.
-    pub fn address(addr: &'a str) -> Self {
-        Destination { addr, name: None }
-    }
-    /// The process of that name, and no other that may have taken its address.
-    pub fn process(name: &'a str, addr: &'a str) -> Self {
-        Destination { addr, name: Some(name) }
-    }
-    fn receiver(&self) -> u32 {
-        self.name.map_or(ANY_RECEIVER, name_tag)
-    }
-    fn is(&self, process: ProcessId) -> bool {
-        self.name.is_none_or(|name| name_tag(name) == process.name)
-    }
-}
-
 /// A connection, and who was found at its other end.
 struct Connection<S> {
     stream: S,
--- a/crates/qh-core/src/wire/mod.rs
+++ b/crates/qh-core/src/wire/mod.rs
@@ -5,13 +5,15 @@
 //! call. Whether a call may be sent a second time is said by its [`Call`] type.
 mod call;
 mod caller;
+mod destination;
 mod error;
 mod frame;
 mod identity;
 mod server;
 
 pub use call::{Call, Key, Repeat};
-pub use caller::{Caller, Connector, Destination, Tcp};
+pub use caller::{Caller, Connector, Tcp};
+pub use destination::Destination;
 pub use error::CallError;
 pub use frame::{
     ANSWER_HEADER_BYTES, AnswerHeader, FRAME_MAX, FrameKind, Incoming, LENGTH_BYTES, PROTOCOL_VERSION,
--- a/crates/qh-data/tests/fake/mod.rs
+++ b/crates/qh-data/tests/fake/mod.rs
@@ -46,7 +46,6 @@
     /// Writes that were committed, at whichever server leads.
     pub kept: Vec<String>,
 }
-
 #[derive(Clone, Default)]
 pub struct Group(pub Arc<Mutex<Db>>);
 
@@ -58,7 +57,6 @@
     open: bool,
     wrote: Vec<String>,
     dead: bool,
-    /// A call on it was not answered: nothing more may be asked here.
     owes: bool,
 }
 
--- a/crates/qh-mesh/src/member.rs
+++ b/crates/qh-mesh/src/member.rs
@@ -1,6 +1,7 @@
 //! Partial views, shuffled; liveness by direct and indirect asking, suspicion with refutation (§6.1, §6.2).
 //! Sans-IO.
 use crate::msgs::{Letter, Life, MeshMsg, Rumor};
+use crate::probe::Relay;
 use qh_core::rng::Rng;
 use qh_core::{Beat, Ms, Name};
 use std::collections::BTreeMap;
@@ -31,15 +32,6 @@
     pub indirect: bool,
 }
 
-/// A probe for another node.
-#[derive(Clone, Debug)]
-pub(crate) struct Relay {
-    pub target: Name,
-    pub asker_addr: Name,
-    pub asker_seq: u64,
-    pub until: Ms,
-}
-
 #[derive(Clone, Debug, PartialEq)]
 pub enum Out {
     Send(Name, Letter),
--- a/crates/qh-mesh/src/probe.rs
+++ b/crates/qh-mesh/src/probe.rs
@@ -8,6 +8,15 @@
 /// A dead node is remembered this long, so that old rumors do not revive it.
 const BURIED: Ms = 60_000;
 
+/// A probe for another node.
+#[derive(Clone, Debug)]
+pub(crate) struct Relay {
+    pub target: Name,
+    pub asker_addr: Name,
+    pub asker_seq: u64,
+    pub until: Ms,
+}
+
 impl Mesh {
     pub(crate) fn probe(&mut self, now: Ms) {
         let all: Vec<Name> =
