Deliberate bugs: a tail without its view lease, a change without the old majority

Cause: the checks of a simulated control plane need code that is broken in these two ways. Change: rt::broken("no-view-lease") in Keeper::serving, rt::broken("no-old-majority") in the register's proposer; both are false outside a simulator's run that asks for them.

--- a/crates/qh-state/src/keeper.rs
+++ b/crates/qh-state/src/keeper.rs
@@ -126,7 +126,8 @@
     }
     /// May this keeper answer as the tail at this moment (§5.3)?
     pub fn serving(&self) -> bool {
-        self.is_tail() && self.joined && self.now >= self.wait_until && self.now < self.lease_until
+        let leased = self.now < self.lease_until || rt::broken("no-view-lease");
+        self.is_tail() && self.joined && self.now >= self.wait_until && leased
     }
     /// May it commit as well, and hand out what is committed (§5.9)?
     pub fn commits(&self) -> bool {
--- a/crates/qh-state/src/register.rs
+++ b/crates/qh-state/src/register.rs
@@ -124,7 +124,7 @@
             return Vec::new();
         }
         a.promises.insert(from.clone(), acceptor);
-        if !a.base.majority(a.promises.keys()) {
+        if !old_majority(&a.base, a.promises.keys()) {
             return Vec::new();
         }
         // What a majority may have agreed on already is finished first; only an unmoved register is changed.
@@ -155,8 +155,10 @@
             return Vec::new();
         }
         a.accepts.insert(from.clone(), ());
-        let done =
-            a.proposing.clone().filter(|v| a.base.majority(a.accepts.keys()) && v.majority(a.accepts.keys()));
+        let done = a
+            .proposing
+            .clone()
+            .filter(|v| old_majority(&a.base, a.accepts.keys()) && v.majority(a.accepts.keys()));
         done.map_or_else(Vec::new, |v| {
             self.at = None;
             vec![ProposerAction::Decided(v)]
@@ -164,6 +166,11 @@
     }
 }
 
+/// A majority of the old set must take part in every change of the register.
+fn old_majority<'a>(base: &View, who: impl Iterator<Item = &'a Name>) -> bool {
+    base.majority(who) || qh_core::rt::broken("no-old-majority")
+}
+
 fn targets(a: &View, b: &View) -> Vec<Name> {
     let mut t: Vec<Name> = a.machines.iter().chain(&b.machines).map(|m| m.name.clone()).collect();
     t.sort();
