--- /dev/null
+++ b/crates/qh-lab/src/control_sim/budget.rs
@@ -0,0 +1,70 @@
+//! Which machines count as lost, and when the core was troubled.
+use qh_core::Ms;
+use std::collections::BTreeMap;
+
+/// Until when a place of the deployment counts as lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Lost {
+    Now,
+    Until(Ms),
+}
+
+#[derive(Debug, Default)]
+pub struct Budget {
+    lost: BTreeMap<usize, Lost>,
+    /// Spans of trouble with the core; an event is an empty span.
+    troubles: Vec<(Ms, Ms)>,
+}
+
+impl Budget {
+    /// True when losing the machine in `slot` as well stays within what is tolerated.
+    pub fn allows(&self, slot: usize, now: Ms, tolerated: usize) -> bool {
+        let others = self.lost.iter().filter(|(other, lost)| **other != slot && lost.holds(now)).count();
+        others < tolerated
+    }
+    /// True when no machine counts as lost.
+    pub fn is_whole(&self, now: Ms) -> bool {
+        !self.lost.values().any(|lost| lost.holds(now))
+    }
+    /// True while the machine in `slot` is down or in trouble.
+    pub fn is_lost_now(&self, slot: usize) -> bool {
+        self.lost.get(&slot) == Some(&Lost::Now)
+    }
+    pub fn lose(&mut self, slot: usize) {
+        self.lost.insert(slot, Lost::Now);
+    }
+    pub fn lost_until(&mut self, slot: usize, until: Ms) {
+        let had = match self.lost.get(&slot) {
+            Some(Lost::Until(had)) => *had,
+            _ => 0,
+        };
+        self.lost.insert(slot, Lost::Until(until.max(had)));
+    }
+    pub fn trouble(&mut self, from: Ms, to: Ms) {
+        self.troubles.push((from, to));
+    }
+
+    /// Spans until `end` without trouble, each from `contact` after the last.
+    pub fn settled(&self, contact: Ms, end: Ms) -> Vec<(Ms, Ms)> {
+        let mut troubles = self.troubles.clone();
+        troubles.sort_unstable();
+        let mut spans = Vec::new();
+        let mut calm_since = 0;
+        for (from, to) in troubles.into_iter().chain([(end, end)]) {
+            if from > calm_since + contact {
+                spans.push((calm_since + contact, from));
+            }
+            calm_since = calm_since.max(to);
+        }
+        spans
+    }
+}
+
+impl Lost {
+    fn holds(self, now: Ms) -> bool {
+        match self {
+            Lost::Now => true,
+            Lost::Until(until) => now < until,
+        }
+    }
+}
--- /dev/null
+++ b/crates/qh-lab/src/control_sim/call_kind.rs
@@ -0,0 +1,37 @@
+//! Which kind of reply a keeper's caller expects (C5).
+use qh_state::{Reply, Request};
+
+/// Which kind of answer a call expects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallKind {
+    Status,
+    Machines,
+    Write,
+    Read,
+    Adopted,
+    Feed,
+}
+
+impl CallKind {
+    pub fn of(ask: &Request) -> CallKind {
+        match ask {
+            Request::Status => CallKind::Status,
+            Request::Machines { .. } => CallKind::Machines,
+            Request::Write { .. } => CallKind::Write,
+            Request::Read => CallKind::Read,
+            Request::Adopted => CallKind::Adopted,
+            Request::Feed { .. } => CallKind::Feed,
+        }
+    }
+    /// True if the reply is one that such a call may get.
+    pub fn accepts(self, reply: &Reply) -> bool {
+        match reply {
+            Reply::Status { .. } => self == CallKind::Status,
+            Reply::Answer { .. } => self == CallKind::Write,
+            Reply::Store { .. } => self == CallKind::Read,
+            Reply::Adopted { .. } => self == CallKind::Adopted,
+            Reply::Changes { .. } | Reply::Snapshot { .. } | Reply::Enroll => self == CallKind::Feed,
+            Reply::Elsewhere { .. } | Reply::Declined { .. } => true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/qh-lab/src/control_sim/disk.rs
@@ -0,0 +1,83 @@
+//! A simulated disk: what is synced outlives the process, what waits for its sync may not.
+use qh_core::Ms;
+use qh_state::keeper::{Record, RecoveredState};
+use qh_state::terms::{LOG_KEEP, SNAP_EVERY};
+
+#[derive(Debug, Default)]
+pub struct Disk {
+    /// The keeper's name, written when its folder is made.
+    pub name: String,
+    synced: RecoveredState,
+    /// As it was when the log was last cut.
+    snapshot: RecoveredState,
+    since_snapshot: u64,
+    /// Handed over, not synced yet.
+    pending: Vec<Record>,
+    /// Time of one sync.
+    pub sync_ms: Ms,
+    /// No sync ends before that time.
+    pub stalled_until: Ms,
+    /// Writes are refused until that time.
+    pub full_until: Ms,
+}
+
+impl Disk {
+    pub fn new(name: String, found: RecoveredState, sync_ms: Ms) -> Disk {
+        Disk { name, snapshot: found.clone(), synced: found, sync_ms, ..Default::default() }
+    }
+    /// What a process that starts finds.
+    pub fn recover(&mut self) -> RecoveredState {
+        self.synced.clone()
+    }
+    /// An older state than what was synced: only a deliberate bug starts from it.
+    pub fn stale(&self) -> RecoveredState {
+        RecoveredState {
+            acceptor: self.synced.acceptor.clone(),
+            view: self.synced.view.clone(),
+            served: self.synced.served,
+            ..self.snapshot.clone()
+        }
+    }
+    pub fn write(&mut self, records: Vec<Record>) {
+        self.pending = records;
+    }
+    pub fn sync(&mut self) {
+        for record in std::mem::take(&mut self.pending) {
+            self.apply(record);
+        }
+    }
+    /// The process ended in the midst of a sync.
+    pub fn lose_pending(&mut self) {
+        self.pending.clear();
+    }
+
+    fn apply(&mut self, record: Record) {
+        let synced = &mut self.synced;
+        match record {
+            Record::Acceptor { acceptor } => synced.acceptor = acceptor,
+            Record::View { view } => synced.view = view,
+            Record::Served { version } => synced.served = version,
+            Record::CatchingUp { yes } => synced.catching_up = yes,
+            Record::Snapshot { store } => {
+                synced.store = *store;
+                synced.log.clear();
+            }
+            Record::Entry { e } => {
+                synced.store.apply(&e);
+                synced.log.push_back(e);
+                if synced.log.len() > LOG_KEEP {
+                    synced.log.pop_front();
+                }
+                self.count_entry();
+            }
+        }
+    }
+
+    fn count_entry(&mut self) {
+        self.since_snapshot += 1;
+        if self.since_snapshot >= SNAP_EVERY {
+            self.since_snapshot = 0;
+            self.snapshot = self.synced.clone();
+        }
+    }
+}
--- /dev/null
+++ b/crates/qh-lab/src/control_sim/door.rs
@@ -0,0 +1,79 @@
+//! The control door of a machine: what the platform's control calls come to, over the real chain client.
+use super::cluster::Cluster;
+use super::history::Document;
+use crate::sim::core::Pid;
+use qh_core::rt::{self, Fut};
+use qh_core::{Code, Error, Name, messages};
+use qh_state::Command;
+use qhd::chainc::Chain;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The door answers within this time, as its callers move on after a second.
+const WITHIN: Duration = Duration::from_millis(900);
+
+messages! {
+    pub enum DoorCall { Replace { text: String }, Retrieve }
+
+    pub enum DoorAnswer { Acknowledged, Refused, NoClearAnswer, Document { text: Option<String> } }
+}
+
+/// Where the door of the machine at `address` listens.
+pub fn door_of(address: &Name) -> String {
+    format!("door/{address}")
+}
+
+pub fn open(cluster: &Arc<Cluster>, pid: Pid, address: &Name, seeds: &[Name]) {
+    let keepers: Vec<String> = std::iter::once(address).chain(seeds).map(Name::to_string).collect();
+    let chain = Arc::new(Chain::new(&keepers));
+    let on_frame = move |bytes: Vec<u8>| {
+        let chain = chain.clone();
+        let answer = async move {
+            let answer = match borsh::from_slice(&bytes).ok()? {
+                DoorCall::Replace { text } => replace(&chain, text).await,
+                DoorCall::Retrieve => retrieve(&chain).await,
+            };
+            borsh::to_vec(&answer).ok()
+        };
+        Box::pin(answer) as Fut<'static, Option<Vec<u8>>>
+    };
+    cluster.core.listen_frames(&door_of(address), pid, Arc::new(on_frame));
+}
+
+/// The write of a document, under a key that holds its number and content.
+fn adoption(document: Document, source: String) -> (String, Command) {
+    let key = format!("adopt/{}/{:016x}", document.number, qh_core::hash64(&[source.as_bytes()]));
+    let (text, by) = (source.clone(), Name::from("operator"));
+    (key, Command::Adopt { number: document.number, text, source, by })
+}
+
+async fn replace(chain: &Chain, text: String) -> DoorAnswer {
+    let Some(document) = Document::parse(&text) else { return DoorAnswer::Refused };
+    if rt::broken("confirm-by-number") && holds_number(chain, document.number).await {
+        return DoorAnswer::Acknowledged;
+    }
+    let (key, command) = adoption(document, text);
+    match rt::timeout(WITHIN, chain.write(&key, command, WITHIN)).await {
+        Ok(Ok(_)) => DoorAnswer::Acknowledged,
+        Ok(Err(why)) if is_final(&why) => DoorAnswer::Refused,
+        _ if rt::broken("confirm-unseen") => DoorAnswer::Acknowledged,
+        _ => DoorAnswer::NoClearAnswer,
+    }
+}
+
+/// The deliberate bug's look at the number alone.
+async fn holds_number(chain: &Chain, number: u64) -> bool {
+    let held = chain.adopted(WITHIN).await.ok().flatten();
+    held.is_some_and(|held| held.number >= number)
+}
+
+fn is_final(why: &Error) -> bool {
+    why.is(Code::PushConflict) || why.is(Code::BlueprintInvalid)
+}
+
+async fn retrieve(chain: &Chain) -> DoorAnswer {
+    match chain.adopted(WITHIN).await {
+        Ok(adopted) => DoorAnswer::Document { text: adopted.map(|adopted| adopted.source) },
+        Err(_) => DoorAnswer::NoClearAnswer,
+    }
+}
--- /dev/null
+++ b/crates/qh-lab/src/control_sim/effects.rs
@@ -0,0 +1,176 @@
+//! What each fault does to machines, links and disks, and how it ends.
+use super::cluster::{Cluster, Machine};
+use super::machine;
+use crate::sim::core::Pid;
+use qh_core::{Ms, Name};
+use std::sync::Arc;
+
+/// How often an orderly stop that has to wait is tried again.
+const RETRY: Ms = 20;
+
+/// Does something at a later time.
+pub fn after(cluster: &Arc<Cluster>, at: Ms, act: impl FnOnce(&Arc<Cluster>) + Send + 'static) {
+    let shared = cluster.clone();
+    cluster.core.later(at, move |_| act(&shared));
+}
+
+pub fn trouble(cluster: &Cluster) {
+    let now = cluster.core.now();
+    cluster.budget.lock().unwrap().trouble(now, now);
+}
+
+/// The machine's trouble is over: it counts as lost for the time it needs to catch up.
+pub fn recovered(cluster: &Cluster, machine: usize) {
+    trouble(cluster);
+    let until = cluster.core.now() + cluster.parameters.catch_up;
+    cluster.budget.lock().unwrap().lost_until(cluster.slot(machine), until);
+}
+
+pub fn kill(cluster: &Arc<Cluster>, machine: usize, power: bool) {
+    trouble(cluster);
+    cluster.core.crash(cluster.pid(machine), power);
+    let keeps = !power && cluster.chance(500);
+    let disk = cluster.disk(machine);
+    let mut disk = disk.lock().unwrap();
+    if keeps {
+        disk.sync();
+    } else {
+        disk.lose_pending();
+    }
+}
+
+pub fn restart(cluster: &Arc<Cluster>, machine: usize) {
+    cluster.core.restart(cluster.pid(machine));
+    recovered(cluster, machine);
+}
+
+pub fn remove(cluster: &Arc<Cluster>, machine: usize) {
+    kill(cluster, machine, true);
+    let mut state = cluster.state.lock().unwrap();
+    let Machine { present, address, .. } = &mut state.machines[machine];
+    *present = false;
+    let address = address.clone();
+    drop(state);
+    cluster.core.lock().links.at.remove(address.as_str());
+}
+
+pub fn add_successor(cluster: &Arc<Cluster>, slot: usize) {
+    trouble(cluster);
+    let address = cluster.fresh_address();
+    cluster.add_machine(slot, address);
+    let at = cluster.core.now() + cluster.parameters.seed_lag;
+    after(cluster, at, |c| replace_absent_seeds(c));
+}
+
+/// Seeds that are no machine's address any more give way to machines that are there.
+fn replace_absent_seeds(cluster: &Cluster) {
+    let present = cluster.addresses();
+    let mut state = cluster.state.lock().unwrap();
+    let mut seeds: Vec<Name> = state.seeds.iter().filter(|seed| present.contains(seed)).cloned().collect();
+    let fresh = present.iter().rev().filter(|address| !state.seeds.contains(address));
+    seeds.extend(fresh.take(state.seeds.len() - seeds.len()).cloned());
+    state.seeds = seeds;
+}
+
+/// The old machine of a planned replacement ends in order, once no other loss forbids it.
+pub fn stop_when_allowed(cluster: Arc<Cluster>, machine: usize, successor_start: Ms) {
+    let now = cluster.core.now();
+    let slot = cluster.slot(machine);
+    let present = cluster.state.lock().unwrap().machines[machine].present;
+    if !present || now >= cluster.parameters.faults_until {
+        return;
+    }
+    if !cluster.budget.lock().unwrap().allows(slot, now, cluster.parameters.shape.tolerated) {
+        let core = cluster.core.clone();
+        return core.later(now + RETRY, move |_| stop_when_allowed(cluster, machine, successor_start));
+    }
+    remove(&cluster, machine);
+    // The rules count from the successor's start; a voter that the code cannot replace so soon is lost from the stop on.
+    let since = if cluster.parameters.allowed.second_loss { successor_start } else { now };
+    let until = since + cluster.parameters.catch_up;
+    cluster.budget.lock().unwrap().lost_until(slot, until);
+}
+
+pub fn cut(cluster: &Arc<Cluster>, machine: usize, all: bool, one_way: bool, until: Ms) {
+    trouble(cluster);
+    let pid = cluster.pid(machine);
+    let mut others: Vec<Pid> = cluster.present().into_iter().map(|index| cluster.pid(index)).collect();
+    if all {
+        others.extend(cluster.others());
+    }
+    others.retain(|other| *other != pid);
+    others.iter().for_each(|other| cluster.core.cut(pid, *other, !one_way));
+    after(cluster, until, move |c| {
+        others.iter().for_each(|other| c.core.mend(pid, *other));
+        recovered(c, machine);
+    });
+}
+
+pub fn split(cluster: &Arc<Cluster>, time: Ms) {
+    let now = cluster.core.now();
+    let (left, right): (Vec<usize>, Vec<usize>) =
+        cluster.present().into_iter().partition(|_| cluster.chance(500));
+    {
+        let mut budget = cluster.budget.lock().unwrap();
+        budget.trouble(now, now + time + cluster.parameters.contact);
+        cluster.present().into_iter().for_each(|machine| budget.lose(cluster.slot(machine)));
+    }
+    let pairs = left.iter().flat_map(|a| right.iter().map(|b| (cluster.pid(*a), cluster.pid(*b))));
+    let pairs: Vec<(Pid, Pid)> = pairs.collect();
+    pairs.iter().for_each(|(a, b)| cluster.core.cut(*a, *b, true));
+    after(cluster, now + time, move |c| {
+        pairs.iter().for_each(|(a, b)| c.core.mend(*a, *b));
+        left.iter().chain(&right).for_each(|machine| recovered(c, *machine));
+    });
+}
+
+pub fn move_away(cluster: &Arc<Cluster>, machine: usize) {
+    let fresh = cluster.fresh_address();
+    let old = {
+        let mut state = cluster.state.lock().unwrap();
+        std::mem::replace(&mut state.machines[machine].address, fresh)
+    };
+    cluster.core.lock().links.at.remove(old.as_str());
+    let at = cluster.core.now() + cluster.parameters.seed_lag;
+    after(cluster, at, |c| replace_absent_seeds(c));
+}
+
+pub fn slow_disk(cluster: &Arc<Cluster>, machine: usize, sync: Ms, until: Ms) {
+    let disk = cluster.disk(machine);
+    let usual = std::mem::replace(&mut disk.lock().unwrap().sync_ms, sync);
+    after(cluster, until, move |c| {
+        disk.lock().unwrap().sync_ms = usual;
+        recovered(c, machine);
+    });
+}
+
+/// Other machines become the seeds, and every process is told.
+pub fn turn_seeds(cluster: &Arc<Cluster>) {
+    let mut seeds = cluster.addresses();
+    cluster.core.lock().rng.shuffle(&mut seeds);
+    let processes = {
+        let mut state = cluster.state.lock().unwrap();
+        seeds.truncate(state.seeds.len());
+        state.seeds = seeds.clone();
+        let present = state.machines.iter().filter(|machine| machine.present);
+        present.filter_map(|machine| Some((machine.pid, machine.process.clone()?))).collect::<Vec<_>>()
+    };
+    for (pid, process) in processes {
+        let up = cluster.core.lock().hosts[pid].up;
+        if up {
+            cluster.core.within(pid, || machine::tell_seeds(&process, seeds.clone()));
+        }
+    }
+}
+
+pub fn kill_all(cluster: &Arc<Cluster>, power: bool, down: Ms) {
+    let now = cluster.core.now();
+    // A core that was down as a whole has twice the time to be in touch again.
+    let contact = cluster.parameters.contact;
+    cluster.budget.lock().unwrap().trouble(now, now + down + contact);
+    for machine in cluster.present() {
+        cluster.budget.lock().unwrap().lose(cluster.slot(machine));
+        kill(cluster, machine, power);
+        after(cluster, now + down, move |c| restart(c, machine));
+    }
+}
--- /dev/null
+++ b/crates/qh-lab/src/control_sim/faults.rs
@@ -0,0 +1,142 @@
+//! The faults of a run, drawn from its seed.
+use super::cluster::Cluster;
+use qh_core::Ms;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// The machine goes for good; an empty one comes at another address.
+    Replace,
+    /// An empty machine comes first, then the old one is stopped in order.
+    PlannedReplace {
+        after: Ms,
+    },
+    /// The disk is lost; an empty machine comes back at the same address.
+    Wipe {
+        down: Ms,
+    },
+    /// Cut off from the rest of the core, and from all others too if `all`; only what it sends is lost if `one_way`.
+    Cut {
+        all: bool,
+        one_way: bool,
+        time: Ms,
+    },
+    /// The core is cut in two, at random.
+    Split {
+        time: Ms,
+    },
+    Freeze {
+        time: Ms,
+    },
+    Kill {
+        down: Ms,
+    },
+    /// As a kill, but what was not synced is lost.
+    PowerLoss {
+        down: Ms,
+    },
+    /// Restarted with its disk at another address.
+    Move {
+        down: Ms,
+    },
+    Slow {
+        step: Ms,
+        time: Ms,
+    },
+    SlowDisk {
+        sync: Ms,
+        time: Ms,
+    },
+    StalledDisk {
+        time: Ms,
+    },
+    FullDisk {
+        time: Ms,
+    },
+    LostAnswers {
+        time: Ms,
+    },
+    /// The list of seeds names other machines, and every process is told.
+    TurnSeeds,
+    /// Every core process is killed, or loses power, at once.
+    KillAll {
+        power: bool,
+        down: Ms,
+    },
+}
+
+/// Whether a fault makes a machine count as lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cost {
+    /// It strikes one machine, which counts as lost.
+    Machine,
+    /// It strikes one machine, which counts as lost once it is stopped.
+    Planned,
+    /// It counts for nothing.
+    Free,
+    /// It strikes all, and comes only while none is lost.
+    All,
+}
+
+impl Fault {
+    pub fn cost(self) -> Cost {
+        match self {
+            Fault::LostAnswers { .. } | Fault::TurnSeeds => Cost::Free,
+            Fault::PlannedReplace { .. } => Cost::Planned,
+            Fault::KillAll { .. } | Fault::Split { .. } => Cost::All,
+            _ => Cost::Machine,
+        }
+    }
+}
+
+/// Longest cut, freeze or stalled disk.
+const LONG_CUT: Ms = 20_000;
+/// A shorter cut than the time to give up costs no machine its vote.
+const GIVE_UP_MARGIN: Ms = 1_500;
+const LONG_FREEZE: Ms = 8_000;
+const LONG_STALL: Ms = 6_000;
+const LONG_DOWN: Ms = 3_000;
+
+pub fn draw(cluster: &Cluster) -> Fault {
+    let mut core = cluster.core.lock();
+    let rng = &mut core.rng;
+    let down = 100 + rng.below(LONG_DOWN);
+    match rng.below(100) {
+        0..16 => Fault::Replace,
+        16..24 => Fault::PlannedReplace { after: 500 + rng.below(6_000) },
+        24..32 => Fault::Wipe { down },
+        32..46 => {
+            let (all, one_way) = (rng.chance(400), rng.chance(350));
+            let longest = if one_way { longest_one_way(cluster) } else { LONG_CUT };
+            Fault::Cut { all, one_way, time: 200 + rng.below(longest) }
+        }
+        46..53 => Fault::Freeze { time: 200 + rng.below(LONG_FREEZE) },
+        53..61 => Fault::Kill { down },
+        61..68 => Fault::PowerLoss { down },
+        68..72 if cluster.parameters.allowed.moved_machines => Fault::Move { down },
+        68..76 => Fault::Slow { step: 10 + rng.below(90), time: 500 + rng.below(6_000) },
+        76..80 => Fault::SlowDisk { sync: 20 + rng.below(200), time: 500 + rng.below(6_000) },
+        80..87 => Fault::StalledDisk { time: 300 + rng.below(LONG_STALL) },
+        87..90 if cluster.parameters.allowed.full_disks => Fault::FullDisk { time: 500 + rng.below(8_000) },
+        87..93 => Fault::LostAnswers { time: 500 + rng.below(4_000) },
+        93..95 => Fault::TurnSeeds,
+        95..97 => Fault::Split { time: 200 + rng.below(LONG_CUT) },
+        _ => Fault::KillAll { power: rng.chance(500), down },
+    }
+}
+
+/// The longest cut of what one machine sends: one that outlasts [`Parameters::give_up`] costs it its vote.
+///
+/// [`Parameters::give_up`]: super::parameters::Parameters::give_up
+fn longest_one_way(cluster: &Cluster) -> Ms {
+    if cluster.parameters.allowed.long_one_way_cuts {
+        return LONG_CUT;
+    }
+    cluster.parameters.give_up - GIVE_UP_MARGIN
+}
+
+/// Waits until the next fault: often none, so that it comes as soon as it may.
+pub fn gap(cluster: &Cluster) -> Ms {
+    let mut core = cluster.core.lock();
+    let rng = &mut core.rng;
+    if rng.chance(500) { rng.below(300) } else { rng.below(2 * cluster.parameters.fault_gap) }
+}
--- /dev/null
+++ b/crates/qh-lab/src/control_sim/history.rs
@@ -0,0 +1,93 @@
+//! What operators, readers and nodes saw during a run.
+use qh_core::{Ms, Name};
+use std::collections::BTreeMap;
+
+/// A configuration document: its number, and which of the texts sent under that number it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Document {
+    pub number: u64,
+    pub variant: u64,
+}
+
+impl Document {
+    pub fn text(&self) -> String {
+        format!("{}/{}", self.number, self.variant)
+    }
+    pub fn parse(text: &str) -> Option<Document> {
+        let (number, variant) = text.split_once('/')?;
+        Some(Document { number: number.parse().ok()?, variant: variant.parse().ok()? })
+    }
+}
+
+/// One document on its way to an acknowledgement.
+#[derive(Clone, Debug)]
+pub struct Order {
+    pub document: Document,
+    pub first_sent: Ms,
+    /// Another document was sent under the same number.
+    pub contested: bool,
+    /// A higher number was sent at that time.
+    pub superseded: Option<Ms>,
+    /// When its operator had an answer, or gave up.
+    pub ended: Option<Ms>,
+}
+
+/// A read that returned, with what it returned.
+#[derive(Clone, Debug)]
+pub struct Read {
+    pub began: Ms,
+    pub ended: Ms,
+    pub document: Option<Document>,
+}
+
+/// What a node holding its lease had applied at a time.
+#[derive(Clone, Debug)]
+pub struct Applied {
+    pub node: Name,
+    pub at: Ms,
+    pub document: Option<Document>,
+}
+
+#[derive(Debug, Default)]
+pub struct History {
+    pub orders: Vec<Order>,
+    pub acknowledged: Vec<(Ms, Document)>,
+    pub refused: Vec<(Ms, Document)>,
+    pub reads: Vec<Read>,
+    pub applied: Vec<Applied>,
+    /// A read was answered after everything had healed.
+    pub read_back: bool,
+    /// Spans in which the core was settled.
+    pub settled: Vec<(Ms, Ms)>,
+    /// What the keepers themselves were seen to do wrong.
+    pub breaches: Vec<String>,
+}
+
+impl History {
+    /// Notes a document's first sending; the place of its order.
+    pub fn send(&mut self, at: Ms, document: Document) -> usize {
+        for order in &mut self.orders {
+            if order.document.number < document.number {
+                order.superseded.get_or_insert(at);
+            }
+        }
+        let highest = self.orders.iter().map(|order| order.document.number).max().unwrap_or(0);
+        let superseded = (highest > document.number).then_some(at);
+        let contested = false;
+        self.orders.push(Order { document, first_sent: at, contested, superseded, ended: None });
+        self.mark_contested(document.number);
+        self.orders.len() - 1
+    }
+
+    fn mark_contested(&mut self, number: u64) {
+        let variants: BTreeMap<u64, ()> = self.of_number(number).map(|o| (o.document.variant, ())).collect();
+        if variants.len() > 1 {
+            let same = self.orders.iter_mut().filter(|order| order.document.number == number);
+            same.for_each(|order| order.contested = true);
+        }
+    }
+
+    fn of_number(&self, number: u64) -> impl Iterator<Item = &Order> {
+        self.orders.iter().filter(move |order| order.document.number == number)
+    }
+}
--- /dev/null
+++ b/crates/qh-lab/src/control_sim/invariants.rs
@@ -0,0 +1,80 @@
+//! What must hold between the keepers at every moment of a run.
+use qh_core::{ChangeNo, Ms, Name, Version};
+use qh_state::{Keeper, View};
+use std::collections::BTreeMap;
+
+const REPORTED: usize = 20;
+
+#[derive(Debug, Default)]
+pub struct Invariants {
+    committed: ChangeNo,
+    /// Who began to serve as the tail of each view.
+    served: BTreeMap<Version, Name>,
+    views: BTreeMap<Version, View>,
+    pub breaches: Vec<String>,
+}
+
+impl Invariants {
+    pub fn breach(&mut self, text: String) {
+        if self.breaches.len() < REPORTED {
+            self.breaches.push(text);
+        }
+    }
+
+    /// Looks at a keeper after its step.
+    pub fn observe(&mut self, at: Ms, keeper: &Keeper) {
+        self.one_view_an_edition(at, keeper);
+        if keeper.serving() {
+            self.one_tail(at, keeper);
+            self.serves_all(at, keeper);
+        }
+    }
+
+    /// A keeper's outputs leave: from now on others know what it committed.
+    pub fn leaves(&mut self, keeper: &Keeper) {
+        self.committed = self.committed.max(keeper.committed);
+    }
+
+    /// C11: no process ends by itself.
+    pub fn ended(&mut self, at: Ms, keeper: &Name) {
+        self.breach(format!("C11 the process of {keeper} ends by itself at {at}"));
+    }
+
+    pub fn committed(&self) -> ChangeNo {
+        self.committed
+    }
+
+    pub fn editions(&self) -> Version {
+        self.views.keys().next_back().copied().unwrap_or(0)
+    }
+
+    /// C9: one view an version.
+    fn one_view_an_edition(&mut self, at: Ms, keeper: &Keeper) {
+        let view = &keeper.view;
+        let agreed = self.views.entry(view.version).or_insert_with(|| view.clone());
+        if view.version > 0 && agreed != view {
+            let text = format!("C9 {} holds another view {} at {at}", keeper.me, view.version);
+            self.breach(text);
+        }
+    }
+
+    /// C7: no tail serves once the tail of a newer view has begun to.
+    fn one_tail(&mut self, at: Ms, keeper: &Keeper) {
+        let version = keeper.view.version;
+        let newer = self.served.range(version..).find(|(_, tail)| **tail != keeper.me);
+        if let Some((newer, tail)) = newer {
+            let text = format!("C7 {} serves view {version} at {at}; {tail} serves {newer}", keeper.me);
+            self.breach(text);
+        }
+        self.served.entry(version).or_insert_with(|| keeper.me.clone());
+    }
+
+    /// C8: whoever serves holds all that was committed.
+    fn serves_all(&mut self, at: Ms, keeper: &Keeper) {
+        if keeper.store.n < self.committed {
+            let (held, committed) = (keeper.store.n, self.committed);
+            let text = format!("C8 {} serves {held} changes at {at}; {committed} were committed", keeper.me);
+            self.breach(text);
+        }
+    }
+}
--- /dev/null
+++ b/crates/qh-lab/src/control_sim/mod.rs
@@ -0,0 +1,22 @@
+//! A seeded simulation of the control plane alone: real keepers, real chain clients, simulated machines, disks, network,
+//! operators and nodes (§9.8). A seed replays exactly.
+mod budget;
+mod call_kind;
+pub mod checks;
+mod cluster;
+mod disk;
+mod door;
+mod effects;
+mod faults;
+pub mod history;
+mod inject;
+mod invariants;
+mod machine;
+mod node;
+mod operator;
+pub mod parameters;
+mod recovery;
+mod run;
+
+pub use parameters::{Allowed, Parameters, Shape};
+pub use run::{ControlSim, Report, run};
--- /dev/null
+++ b/crates/qh-lab/src/control_sim/node.rs
@@ -0,0 +1,110 @@
+//! Nodes that follow the tail's feed and hold a lease along it, as the daemon's feed task does.
+use super::cluster::Cluster;
+use super::history::{Applied, Document};
+use qh_core::{ChangeNo, Ms, Name, now, rt};
+use qh_state::terms::safe;
+use qh_state::{Answer, Command, FeedState, Reply, Request};
+use qhd::chainc::Chain;
+use std::sync::Arc;
+use std::time::Duration;
+
+const POLL_WITHIN: Duration = Duration::from_millis(600);
+const ENROLL_WITHIN: Duration = Duration::from_secs(2);
+const PAUSE: Duration = Duration::from_millis(40);
+
+struct Node {
+    cluster: Arc<Cluster>,
+    name: Name,
+    chain: Chain,
+    enrolled: ChangeNo,
+    tries: u64,
+    known: FeedState,
+    lease_until: Ms,
+}
+
+pub fn start(cluster: &Arc<Cluster>) {
+    for number in 0..cluster.parameters.nodes {
+        let name = Name::from(format!("node-{number}"));
+        let (shared, host) = (cluster.clone(), name.clone());
+        let begin = move |_: &Arc<_>, _| {
+            let node = Node::new(shared.clone(), host.clone());
+            rt::spawn(node.run());
+        };
+        cluster.core.add(&name, Arc::new(begin), false);
+    }
+}
+
+impl Node {
+    fn new(cluster: Arc<Cluster>, name: Name) -> Node {
+        let seeds: Vec<String> = cluster.addresses().iter().map(Name::to_string).collect();
+        let chain = Chain::new(&seeds);
+        Node { cluster, name, chain, enrolled: 0, tries: 0, known: FeedState::default(), lease_until: 0 }
+    }
+
+    async fn run(mut self) {
+        let mut to = self.chain.tail();
+        while !self.cluster.stopped() {
+            let seeds: Vec<String> = self.cluster.addresses().iter().map(Name::to_string).collect();
+            self.chain.told(&seeds);
+            if self.enrolled == 0 {
+                self.enroll().await;
+                continue;
+            }
+            to = self.poll(to).await;
+            self.note();
+            rt::sleep(PAUSE).await;
+        }
+    }
+
+    async fn enroll(&mut self) {
+        self.tries += 1;
+        let (node, life) = (self.name.clone(), rt::wall_ms());
+        let key = format!("enroll/{node}/{life:x}/{}", self.tries);
+        match self.chain.write(&key, Command::Enroll { node, life }, ENROLL_WITHIN).await {
+            Ok(Answer::Enrolled(entry)) => self.enrolled = entry,
+            _ => rt::sleep(PAUSE).await,
+        }
+    }
+
+    /// One poll; where the next one goes.
+    async fn poll(&mut self, to: String) -> String {
+        let asked = now();
+        let (node, have) = (self.name.clone(), self.known.n);
+        let (addr, applied, enrolled) = (node.clone(), self.known.version, self.enrolled);
+        let ask = Request::Feed { node, addr, have, applied, enrolled };
+        match self.chain.ask(&to, ask, POLL_WITHIN).await {
+            Ok(Reply::Changes { changes, lease_ms }) => {
+                if changes.iter().all(|change| self.known.apply(change)) {
+                    self.lease_until = asked + safe(lease_ms);
+                }
+            }
+            Ok(Reply::Snapshot { snapshot, lease_ms }) => {
+                let newer =
+                    Some(*snapshot).filter(|snapshot| snapshot.n >= self.known.n).and_then(FeedState::of);
+                if let Some(known) = newer {
+                    self.known = known;
+                    self.lease_until = asked + safe(lease_ms);
+                }
+            }
+            Ok(Reply::Elsewhere { view }) => {
+                self.chain.learn(view);
+                return self.chain.tail_after(&to).await;
+            }
+            Ok(Reply::Enroll) => self.enrolled = 0,
+            _ => {
+                self.chain.look().await;
+                return self.chain.tail();
+            }
+        }
+        to
+    }
+
+    /// What the node has in force while its lease holds.
+    fn note(&self) {
+        if now() < self.lease_until {
+            let (node, at) = (self.name.clone(), self.cluster.core.now());
+            let document = Document::parse(&self.known.text);
+            self.cluster.history.lock().unwrap().applied.push(Applied { node, at, document });
+        }
+    }
+}
--- /dev/null
+++ b/crates/qh-lab/src/control_sim/operator.rs
@@ -0,0 +1,146 @@
+//! Operators who send documents until they have an answer, and readers of the document in force.
+use super::cluster::Cluster;
+use super::door::{DoorAnswer, DoorCall, door_of};
+use super::history::{Document, Read};
+use qh_core::{Ms, Name, rt};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Callers move on after a second of silence.
+const SILENCE: Duration = Duration::from_secs(1);
+/// An order that was superseded is given up after so long.
+const SUPERSEDED_PATIENCE: Ms = 5_000;
+const RETRY: u64 = 150;
+/// Parts in a thousand of the orders that are not new.
+const CONTESTED: u64 = 80;
+const RESENT: u64 = 80;
+/// Parts in a thousand of the answers that are lost while answers are lost at all.
+const LOST_ANSWERS: u64 = 700;
+
+/// Starts the processes of operators and readers.
+pub fn start(cluster: &Arc<Cluster>) {
+    for number in 0..cluster.parameters.operators {
+        let cluster = cluster.clone();
+        let shared = cluster.clone();
+        let begin = move |_: &Arc<_>, _| {
+            for _ in 0..cluster.parameters.orders_at_once {
+                rt::spawn(operate(cluster.clone()));
+            }
+        };
+        shared.core.add(&format!("operator {number}"), Arc::new(begin), true);
+    }
+    for number in 0..cluster.parameters.readers {
+        let cluster = cluster.clone();
+        let shared = cluster.clone();
+        let begin = move |_: &Arc<_>, _| drop(rt::spawn(keep_reading(cluster.clone())));
+        shared.core.add(&format!("reader {number}"), Arc::new(begin), true);
+    }
+}
+
+async fn pause(cluster: &Cluster, limit: Ms) {
+    let ms = 1 + cluster.below(limit);
+    rt::sleep(Duration::from_millis(ms)).await;
+}
+
+async fn operate(cluster: Arc<Cluster>) {
+    while !cluster.stopped() {
+        pause(&cluster, cluster.parameters.order_pause).await;
+        let document = choose(&cluster);
+        order(&cluster, document).await;
+    }
+}
+
+/// Most orders bring a new number; some are sent again, some come under a number that another operator uses.
+fn choose(cluster: &Cluster) -> Document {
+    let kind = cluster.below(1_000);
+    let newest = cluster.state.lock().unwrap().next_number;
+    if kind < CONTESTED && cluster.parameters.allowed.contested_numbers && newest > 0 {
+        let number = newest - cluster.below(newest.min(3));
+        return Document { number, variant: 1 + cluster.below(2) };
+    }
+    if kind >= 1_000 - RESENT {
+        let acknowledged = cluster.history.lock().unwrap().acknowledged.clone();
+        let recent = &acknowledged[acknowledged.len().saturating_sub(40)..];
+        if let Some((_, document)) = cluster.core.lock().rng.pick(recent) {
+            return *document;
+        }
+    }
+    cluster.next_document()
+}
+
+/// Sends the document, to any machine, until it is answered.
+async fn order(cluster: &Cluster, document: Document) {
+    let place = cluster.history.lock().unwrap().send(cluster.core.now(), document);
+    while !cluster.stopped() {
+        let call = DoorCall::Replace { text: document.text() };
+        let answer = ask_any(cluster, &call).await;
+        if note_answer(cluster, place, document, answer) {
+            return;
+        }
+        pause(cluster, RETRY).await;
+    }
+}
+
+/// Notes what the operator learned; true if that ends the order.
+fn note_answer(cluster: &Cluster, place: usize, document: Document, answer: Option<DoorAnswer>) -> bool {
+    let at = cluster.core.now();
+    let lossy = cluster.state.lock().unwrap().lost_answers_until > at;
+    let lost = lossy && cluster.chance(LOST_ANSWERS);
+    let mut history = cluster.history.lock().unwrap();
+    let ends = match answer.filter(|_| !lost) {
+        Some(DoorAnswer::Acknowledged) => {
+            history.acknowledged.push((at, document));
+            true
+        }
+        Some(DoorAnswer::Refused) => {
+            history.refused.push((at, document));
+            true
+        }
+        _ => history.orders[place].superseded.is_some_and(|since| at >= since + SUPERSEDED_PATIENCE),
+    };
+    if ends {
+        history.orders[place].ended = Some(at);
+    }
+    ends
+}
+
+async fn ask_any(cluster: &Cluster, call: &DoorCall) -> Option<DoorAnswer> {
+    let addresses = cluster.addresses();
+    let address = cluster.core.lock().rng.pick(&addresses).cloned()?;
+    ask(&address, call).await
+}
+
+async fn ask(address: &Name, call: &DoorCall) -> Option<DoorAnswer> {
+    let frame = borsh::to_vec(call).ok()?;
+    let answer = rt::world()?.call(&door_of(address), frame);
+    let bytes = rt::timeout(SILENCE, answer).await.ok()?.ok()?;
+    borsh::from_slice(&bytes).ok()
+}
+
+async fn keep_reading(cluster: Arc<Cluster>) {
+    while !cluster.stopped() {
+        pause(&cluster, cluster.parameters.order_pause / 2).await;
+        read(&cluster).await;
+    }
+}
+
+/// One read of the document in force, noted if it was answered.
+async fn read(cluster: &Cluster) -> Option<()> {
+    let began = cluster.core.now();
+    let DoorAnswer::Document { text } = ask_any(cluster, &DoorCall::Retrieve).await? else { return None };
+    let document = text.and_then(|text| Document::parse(&text));
+    let read = Read { began, ended: cluster.core.now(), document };
+    cluster.history.lock().unwrap().reads.push(read);
+    Some(())
+}
+
+/// Reads the document in force back until some machine answers.
+pub async fn read_back(cluster: Arc<Cluster>) {
+    loop {
+        if read(&cluster).await.is_some() {
+            cluster.history.lock().unwrap().read_back = true;
+            return;
+        }
+        pause(&cluster, RETRY).await;
+    }
+}
--- /dev/null
+++ b/crates/qh-lab/src/control_sim/parameters.rs
@@ -0,0 +1,129 @@
+//! Every figure of the simulated control plane in one place: shapes, terms, and which faults are drawn.
+use qh_core::Ms;
+
+/// How many machines with a disk there are, how many of them vote, and how many may be lost at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shape {
+    pub voters: usize,
+    pub machines: usize,
+    pub tolerated: usize,
+}
+
+pub const SHAPES: [Shape; 3] = [
+    Shape { voters: 3, machines: 3, tolerated: 1 },
+    Shape { voters: 3, machines: 4, tolerated: 1 },
+    Shape { voters: 5, machines: 8, tolerated: 2 },
+];
+
+/// What the present code is known not to withstand; none of it is drawn unless it is allowed here.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Allowed {
+    /// A second machine may be lost as soon as the deployments' rules let it, not only once a lost voter is replaced.
+    pub second_loss: bool,
+    /// Two operators may send different documents under one number.
+    pub contested_numbers: bool,
+    /// A machine may come back with its disk at another address.
+    pub moved_machines: bool,
+    /// What a machine sends may be lost for longer than the give-up time: it hears all the while, loses its vote, and
+    /// can come back into the chain without one.
+    pub long_one_way_cuts: bool,
+    /// Disks may refuse writes.
+    pub full_disks: bool,
+}
+
+impl Allowed {
+    pub const ALL: Allowed = Allowed {
+        second_loss: true,
+        contested_numbers: true,
+        moved_machines: true,
+        long_one_way_cuts: true,
+        full_disks: true,
+    };
+
+    /// Reads a list such as `second-loss,full-disks`; `all` stands for every one.
+    pub fn parse(list: &str) -> Result<Allowed, String> {
+        let mut allowed = Allowed::default();
+        for word in list.split(',').filter(|word| !word.is_empty()) {
+            match word {
+                "all" => allowed = Allowed::ALL,
+                "second-loss" => allowed.second_loss = true,
+                "contested-numbers" => allowed.contested_numbers = true,
+                "moved-machines" => allowed.moved_machines = true,
+                "long-one-way-cuts" => allowed.long_one_way_cuts = true,
+                "full-disks" => allowed.full_disks = true,
+                other => return Err(format!("--allow: {other:?} is unknown")),
+            }
+        }
+        Ok(allowed)
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Parameters {
+    pub shape: Shape,
+    /// A machine silent for so long gives its place to a spare, as the platform's keeper is set up.
+    pub give_up: Ms,
+    /// A machine counts as lost for so long after its return, or after its successor's start.
+    pub catch_up: Ms,
+    /// The core is settled once nothing has troubled it for so long.
+    pub contact: Ms,
+    /// A settled core acknowledges a proper order within this time.
+    pub ack: Ms,
+    /// A node that holds a lease has an acknowledged document in force after so long.
+    pub config_apply: Ms,
+    /// The operators' list of seeds lags behind the machines by so much.
+    pub seed_lag: Ms,
+    /// A removed machine's successor starts so long after it.
+    pub successor_after: Ms,
+    pub allowed: Allowed,
+    /// Faults begin at this time, and no new one does after that.
+    pub faults_from: Ms,
+    pub faults_until: Ms,
+    /// Mean time between two faults.
+    pub fault_gap: Ms,
+    /// Time for healing before the last read.
+    pub healing: Ms,
+    pub operators: usize,
+    pub readers: usize,
+    pub nodes: usize,
+    /// Orders one operator may have under way at once.
+    pub orders_at_once: usize,
+    /// Longest pause between two orders of one operator.
+    pub order_pause: Ms,
+}
+
+/// The give-up time in `platform/src/keep.rs`.
+const GIVE_UP: Ms = 8_000;
+/// With [`GIVE_UP`] a lost voter is replaced and its successor holds everything after so long.
+const PRESENT_CATCH_UP: Ms = 14_000;
+/// Every so many seeds of a shape, one is a storm of changes; the others have few.
+const STORM_EVERY: u64 = 8;
+
+impl Parameters {
+    /// The parameters of a seed.
+    pub fn for_seed(seed: u64, allowed: Allowed) -> Parameters {
+        let shape = SHAPES[(seed % SHAPES.len() as u64) as usize];
+        let ruled = if shape.tolerated > 1 { 6_000 } else { 4_000 };
+        let storm = (seed / SHAPES.len() as u64).is_multiple_of(STORM_EVERY);
+        Parameters {
+            shape,
+            allowed,
+            give_up: GIVE_UP,
+            catch_up: if allowed.second_loss { ruled } else { PRESENT_CATCH_UP },
+            contact: 4_000,
+            ack: 5_000,
+            config_apply: 3_000,
+            seed_lag: 3_000,
+            successor_after: 1_000,
+            faults_from: 6_000,
+            faults_until: if allowed.second_loss { 30_000 } else { 50_000 },
+            fault_gap: 2_500,
+            healing: 12_000,
+            operators: 2 + (seed % 2) as usize,
+            readers: 2,
+            nodes: 2,
+            orders_at_once: if storm { 6 } else { 2 },
+            order_pause: if storm { 400 } else { 1_800 },
+        }
+    }
+}
--- /dev/null
+++ b/crates/qh-lab/src/control_sim/run.rs
@@ -0,0 +1,146 @@
+//! One seed of the simulated control plane from start to end.
+use super::checks::check;
+use super::cluster::Cluster;
+use super::faults::Fault;
+use super::history::{Document, History};
+use super::parameters::{Allowed, Parameters};
+use super::{inject, node, operator};
+use crate::sim::core::Core;
+use qh_core::Ms;
+use std::sync::Arc;
+
+/// What is simulated.
+#[derive(Clone, Debug)]
+pub struct ControlSim {
+    pub seed: u64,
+    pub allowed: Allowed,
+    /// A deliberate bug of the product or of the simulated process.
+    pub bug: Option<String>,
+    /// Prints what happens.
+    pub tell: bool,
+}
+
+/// What a run came to.
+#[derive(Debug, Default)]
+pub struct Report {
+    pub seed: u64,
+    pub breaches: Vec<String>,
+    pub orders: usize,
+    pub acknowledged: usize,
+    pub reads: usize,
+    pub applied: usize,
+    /// Entries that the chain committed, and views that it agreed on.
+    pub committed: u64,
+    pub views: u64,
+    pub settled_ms: Ms,
+    /// Hash of all that happened: two runs of one seed have the same.
+    pub trace: u64,
+}
+
+/// Orders begin once the first view is in service.
+const ORDERS_FROM: Ms = 3_000;
+/// The time for reading back after everything has healed.
+const READ_BACK: Ms = 10_000;
+const SLICE: Ms = 100;
+/// Network delay one way, in milliseconds.
+const DELAY: (Ms, Ms) = (1, 4);
+
+pub fn run(sim: &ControlSim) -> Report {
+    let parameters = Parameters::for_seed(sim.seed, sim.allowed);
+    let core = Core::new(sim.seed, sim.bug.as_deref(), sim.tell);
+    core.lock().delay = DELAY;
+    let cluster = Cluster::new(core.clone(), parameters);
+    cluster.start_all();
+    core.run_until(ORDERS_FROM);
+    node::start(&cluster);
+    operator::start(&cluster);
+    core.run_until(cluster.parameters.faults_from);
+    inject::next(cluster.clone());
+    core.run_until(cluster.parameters.faults_until);
+    close(&cluster);
+    finish(&cluster);
+    let report = report(sim.seed, &cluster);
+    core.end();
+    report
+}
+
+/// Every other seed ends with a closing fault, right after an acknowledgement.
+fn close(cluster: &Arc<Cluster>) {
+    let core = &cluster.core;
+    inject::heal(cluster);
+    let quiet = cluster.parameters.catch_up + cluster.parameters.contact;
+    core.run_until(core.now() + quiet);
+    if cluster.chance(500) {
+        return;
+    }
+    let acknowledged = |c: &Cluster| c.history.lock().unwrap().acknowledged.len();
+    let (had, limit) = (acknowledged(cluster), core.now() + quiet);
+    while acknowledged(cluster) == had && core.now() < limit {
+        core.run_until(core.now() + 1);
+    }
+    let down = 200 + cluster.below(2_000);
+    match cluster.below(3) {
+        0 => inject::strike(cluster, Fault::KillAll { power: false, down }, 0),
+        1 => inject::strike(cluster, Fault::KillAll { power: true, down }, 0),
+        _ => wipe_tolerated(cluster, down),
+    }
+}
+
+/// As many machines as may be lost lose their disks.
+fn wipe_tolerated(cluster: &Arc<Cluster>, down: Ms) {
+    let mut machines = cluster.present();
+    cluster.core.lock().rng.shuffle(&mut machines);
+    for machine in machines.into_iter().take(cluster.parameters.shape.tolerated) {
+        inject::strike(cluster, Fault::Wipe { down }, machine);
+    }
+}
+
+/// Lets the core settle, ends the orders, and reads back what is in force.
+fn finish(cluster: &Arc<Cluster>) {
+    let core = &cluster.core;
+    core.run_until(core.now() + cluster.parameters.healing);
+    let (end, settled) = {
+        let budget = cluster.budget.lock().unwrap();
+        (core.now(), budget.settled(cluster.parameters.contact, core.now()))
+    };
+    cluster.history.lock().unwrap().settled = settled;
+    cluster.state.lock().unwrap().stopped = true;
+    core.run_until(end + 1_000);
+    let reader = cluster.others().last().copied().unwrap_or_default();
+    let shared = cluster.clone();
+    core.within(reader, || qh_core::rt::spawn(operator::read_back(shared)));
+    let limit = core.now() + READ_BACK;
+    while !cluster.history.lock().unwrap().read_back && core.now() < limit {
+        core.run_until(core.now() + SLICE);
+    }
+}
+
+fn report(seed: u64, cluster: &Cluster) -> Report {
+    let mut history = cluster.history.lock().unwrap();
+    let invariants = cluster.invariants.lock().unwrap();
+    history.breaches.clone_from(&invariants.breaches);
+    let mut breaches = check(&history, &cluster.parameters);
+    if proves_nothing(&history) {
+        breaches.push("the run proves nothing: no acknowledgement, read or poll came through".into());
+    }
+    let settled_ms = history.settled.iter().map(|(from, to)| to - from).sum();
+    Report {
+        seed,
+        breaches,
+        orders: history.orders.len(),
+        acknowledged: history.acknowledged.len(),
+        reads: history.reads.len(),
+        applied: history.applied.len(),
+        committed: invariants.committed(),
+        views: invariants.editions(),
+        settled_ms,
+        trace: cluster.core.lock().trace,
+    }
+}
+
+fn proves_nothing(history: &History) -> bool {
+    let read = |document: Option<Document>| document.is_some();
+    history.acknowledged.is_empty()
+        || !history.reads.iter().any(|r| read(r.document))
+        || !history.applied.iter().any(|a| read(a.document))
+}
--- a/crates/qh-lab/src/lib.rs
+++ b/crates/qh-lab/src/lib.rs
@@ -2,6 +2,7 @@
 mod aftermath;
 mod calls;
 pub mod capacity;
+pub mod control_sim;
 pub mod db;
 mod db_repl;
 pub mod fleet;
--- /dev/null
+++ b/crates/qh-lab/tests/control_sim.rs
@@ -0,0 +1,84 @@
+//! The simulated control plane on fixed seeds (§9.8): the same verdict every run, and each check seen to catch a bug.
+use qh_lab::control_sim::{Allowed, ControlSim, Report, run};
+
+const NONE: Allowed = Allowed {
+    second_loss: false,
+    contested_numbers: false,
+    moved_machines: false,
+    long_one_way_cuts: false,
+    full_disks: false,
+};
+/// A bug must be seen within so many seeds.
+const SEEDS: u64 = 60;
+
+fn one(seed: u64, allowed: Allowed, bug: Option<&str>) -> Report {
+    run(&ControlSim { seed, allowed, bug: bug.map(str::to_owned), tell: false })
+}
+
+#[test]
+fn fixed_seeds_of_all_shapes_are_clean() {
+    for seed in 1_000..1_024 {
+        let report = one(seed, NONE, None);
+        assert!(report.breaches.is_empty(), "seed {seed}: {:#?}", report.breaches);
+        assert!(report.acknowledged > 0 && report.reads > 0, "seed {seed} proves nothing: {report:?}");
+    }
+}
+
+#[test]
+fn a_storm_brings_thousands_of_changes() {
+    let report = one(1, NONE, None);
+    assert!(report.breaches.is_empty(), "{:#?}", report.breaches);
+    assert!(report.committed > 1_000, "{report:?}");
+}
+
+#[test]
+fn a_seed_replays_exactly() {
+    let (first, second) = (one(5, NONE, None), one(5, NONE, None));
+    assert_eq!((first.trace, first.acknowledged), (second.trace, second.acknowledged));
+    assert_ne!(first.trace, one(6, NONE, None).trace);
+}
+
+/// The first seed from `from` on in which one of the checks sees the bug; without the bug that seed is clean.
+fn caught(bug: &str, checks: &[&str], from: u64) {
+    let sees = |report: &Report| report.breaches.iter().any(|b| checks.iter().any(|c| b.starts_with(c)));
+    let seen = (from..from + SEEDS).find(|seed| sees(&one(*seed, NONE, Some(bug))));
+    let seed = seen
+        .unwrap_or_else(|| panic!("the bug {bug} went unseen by {checks:?} on {SEEDS} seeds from {from}"));
+    let clean = one(seed, NONE, None);
+    assert!(clean.breaches.is_empty(), "seed {seed} fails without the bug too: {:?}", clean.breaches);
+}
+
+#[test]
+fn a_tail_without_its_lease_is_caught() {
+    caught("no-view-lease", &["C7", "C8"], 1);
+}
+
+#[test]
+fn a_confirmation_without_a_commit_is_caught() {
+    caught("confirm-unseen", &["C1"], 1);
+}
+
+/// Two documents under one number: the door looks at the number alone.
+#[test]
+fn a_confirmation_without_a_look_at_the_content_is_caught() {
+    let allowed = Allowed { contested_numbers: true, ..NONE };
+    let sees = |seed: &u64| {
+        one(*seed, allowed, Some("confirm-by-number")).breaches.iter().any(|b| b.starts_with("C2"))
+    };
+    assert!((1..=SEEDS).any(|seed| sees(&seed)));
+}
+
+#[test]
+fn a_vote_after_the_disk_was_lost_is_caught() {
+    caught("forgotten-votes", &["C1", "C7", "C8", "C9"], 1);
+}
+
+#[test]
+fn a_swap_without_a_majority_of_the_old_set_is_caught() {
+    caught("no-old-majority", &["C1", "C7", "C8", "C9"], 130);
+}
+
+#[test]
+fn a_start_from_an_older_snapshot_is_caught() {
+    caught("stale-snapshot", &["C1", "C4", "C8"], 1);
+}
--- a/crates/qhlab/src/args.rs
+++ b/crates/qhlab/src/args.rs
@@ -1,6 +1,7 @@
 //! Flags of qhlab.
 use crate::capacity::One;
 use qh_lab::capacity::hollow;
+use qh_lab::control_sim::Allowed;
 use qh_lab::{fleet, stand};
 
 const HELP: &str = "qhlab: the lab of quincehatch
@@ -9,6 +10,7 @@
        qhlab try [--scenario NAME|all] [--shape ...] [--seconds N] [--callers N] [--pause-ms N] [--seed N]
                  [--untimed]
        qhlab sim [--seeds N] [--from SEED] [--keepers N] [--nodes N] [--bug NAME] [--final|--hands|--held]
+       qhlab sim --control [--allow LIST] [--seeds N] [--from SEED] [--bug NAME]
        qhlab bench front|judges|push|mesh|long|all-bad|faults [--rounds N] [--shape ...]
        qhlab bench capacity [--rounds N] [--part parts|sessions|fleet|changes|counted|all]
        qhlab stand --name NAME --addr IP:PORT [--label K=V] [--peer IP:PORT] [--desk IP:PORT] [--data DIR]
@@ -18,7 +20,7 @@
   fleet up    starts a whole fleet on loopback, pushes a blueprint, and runs until Enter or a signal
   try         starts a fleet, runs callers and a script of faults, and checks that no must-never happened
   sim         the seeded simulator; a failing seed replays exactly with --from SEED --seeds 1; --held: servers met
-              over held links
+              over held links; --control: the control plane alone
   bench       measures: ratios, counts, pairs in turn; median and spread
   stand       one stand-in database server
   platform    the platform's stand-in
@@ -62,6 +64,10 @@
     pub hands: bool,
     /// Servers are met over held links.
     pub held: bool,
+    /// The control plane alone.
+    pub control: bool,
+    /// What the present code is known not to withstand, and is drawn all the same.
+    pub allowed: Allowed,
 }
 
 /// Flags as pairs, and the words that are none.
@@ -100,7 +106,7 @@
 const FLAGS: &[&str] = &[
     "shape", "dir", "port", "name", "addr", "label", "peer", "desk", "data", "relay", "door", "scenario",
     "seconds", "callers", "pause-ms", "seed", "seeds", "from", "keepers", "nodes", "bug", "rounds", "part",
-    "groups", "changes", "sessions",
+    "groups", "changes", "sessions", "allow",
 ];
 
 pub fn read() -> Result<Option<Cmd>, String> {
@@ -117,7 +123,7 @@
                 println!("qhlab {}", env!("CARGO_PKG_VERSION"));
                 return Ok(None);
             }
-            Long(k @ ("untimed" | "final" | "hands" | "held")) => {
+            Long(k @ ("untimed" | "final" | "hands" | "held" | "control")) => {
                 let k = k.to_owned();
                 b.flags.push((k, String::new()));
             }
@@ -158,6 +164,8 @@
             last: b.has("final"),
             hands: b.has("hands"),
             held: b.has("held"),
+            control: b.has("control"),
+            allowed: Allowed::parse(&b.one("allow").unwrap_or_default())?,
         }))),
         ["bench", "capacity"] => {
             Ok(Some(Cmd::Capacity(b.one("part").unwrap_or_else(|| "all".into()), b.num("rounds", 5)?)))
--- a/crates/qhlab/src/main.rs
+++ b/crates/qhlab/src/main.rs
@@ -4,6 +4,7 @@
 mod bench_fleet;
 mod capacity;
 mod simulate;
+mod simulate_control;
 mod simulate_held;
 mod up;
 
@@ -43,6 +44,7 @@
             }
             args::Cmd::Up(u) => up::run(u).await,
             args::Cmd::Bench(u, what, n) => bench::run(u, &what, n).await,
+            args::Cmd::Sim(s) if s.control => simulate_control::run(&s),
             args::Cmd::Sim(s) if s.held => simulate_held::run(&s),
             args::Cmd::Capacity(..) | args::Cmd::Hollow(_) => Ok(()),
             args::Cmd::Sim(s) => simulate::run(&s),
--- /dev/null
+++ b/crates/qhlab/src/simulate_control.rs
@@ -0,0 +1,44 @@
+//! `qhlab sim --control`: many seeds of the simulated control plane (§9.8).
+use crate::args::Sim;
+use crate::simulate::each;
+use qh_lab::control_sim::{ControlSim, Report, run as run_one};
+
+const THREADS: usize = 8;
+const REPORTED: usize = 6;
+
+fn one(s: &Sim, seed: u64) -> Report {
+    run_one(&ControlSim { seed, allowed: s.allowed, bug: s.bug.clone(), tell: s.seeds == 1 })
+}
+
+pub fn run(s: &Sim) -> Result<(), String> {
+    let (mut reports, lost) = each(s, THREADS, one);
+    reports.sort_by_key(|report| report.seed);
+    let failed: Vec<&Report> = reports.iter().filter(|report| !report.breaches.is_empty()).collect();
+    for report in &failed {
+        println!("seed {}: {} breaches", report.seed, report.breaches.len());
+        report.breaches.iter().take(REPORTED).for_each(|breach| println!("  BREACH {breach}"));
+    }
+    summary(&reports);
+    if failed.is_empty() && lost == 0 {
+        Ok(())
+    } else {
+        Err(format!("{} seeds with breaches, {lost} threads lost", failed.len()))
+    }
+}
+
+fn summary(reports: &[Report]) {
+    let sum = |f: &dyn Fn(&Report) -> usize| reports.iter().map(f).sum::<usize>();
+    println!(
+        "{} seeds: {} orders, {} acknowledged, {} reads, {} polls under a lease, {} changes, {} views, settled {} s, \
+         trace {:016x}",
+        reports.len(),
+        sum(&|r| r.orders),
+        sum(&|r| r.acknowledged),
+        sum(&|r| r.reads),
+        sum(&|r| r.applied),
+        reports.iter().map(|r| r.committed).sum::<u64>(),
+        reports.iter().map(|r| r.views).sum::<u64>(),
+        reports.iter().map(|r| r.settled_ms).sum::<u64>() / 1_000,
+        reports.iter().fold(0u64, |hash, r| hash.rotate_left(7) ^ r.trace)
+    );
+}
