--- a/crates/qh-state/src/keeper.rs
+++ b/crates/qh-state/src/keeper.rs
@@ -1,15 +1,19 @@
 //! One keeper: chain member, acceptor, proposer, perhaps the tail. Sans-IO (§5.1).
 use crate::discovery::Discovery;
+use crate::disk_port::DiskUsage;
+use crate::entry_log::EntryLog;
 use crate::feed::Change;
 use crate::lease::Leases;
-use crate::messages::{Entry, PeerMessage, View};
+use crate::membership::Leaving;
+use crate::messages::{PeerMessage, View};
 use crate::patch::Packed;
 use crate::register::{Acceptor, Proposer, ProposerAction};
 use crate::requests::{PendingPoll, PendingWrite};
+use crate::snapshot::{IncomingSnapshot, OutgoingSnapshot};
 pub use crate::step::{Input, Output, Record, RecoveredState};
 use crate::store::Store;
-use crate::terms::{NODE_LEASE, VIEW_LEASE, outlast};
-use qh_core::{ChangeNo, Ms, Name, Version, rt};
+use crate::terms::{NODE_LEASE, SILENT, VIEW_LEASE, outlast};
+use qh_core::{ChangeNo, Ms, Name, Version, hash64, rt};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 #[derive(Clone, Debug)]
@@ -20,7 +24,10 @@
     pub(crate) proposer: Proposer,
     pub view: View,
     pub store: Store,
-    pub(crate) log: VecDeque<Entry>,
+    pub(crate) log: EntryLog,
+    pub(crate) outgoing_snapshot: Option<OutgoingSnapshot>,
+    pub(crate) incoming_snapshot: IncomingSnapshot,
+    pub(crate) disk_usage: DiskUsage,
     /// The same for nodes, since this process began or took a whole store (§5.10).
     pub(crate) news: VecDeque<Change>,
     pub(crate) packed: Option<(Version, Packed)>,
@@ -32,6 +39,8 @@
     pub(crate) known: VecDeque<(ChangeNo, Ms)>,
     pub(crate) heard: BTreeMap<Name, Ms>,
     pub(crate) seq: u64,
+    /// The newest own heartbeat that a majority granted.
+    pub(crate) granted_heartbeat: u64,
     pub(crate) sent: BTreeMap<u64, Ms>,
     pub(crate) grants: BTreeMap<u64, BTreeSet<Name>>,
     pub(crate) lease_until: Ms,
@@ -51,6 +60,14 @@
     pub(crate) waiters: Vec<PendingWrite>,
     pub(crate) pollers: Vec<PendingPoll>,
     pub(crate) view_since: Ms,
+    /// The view just before this one, where this keeper knew it.
+    pub(crate) previous_view: Option<View>,
+    /// All that was held when the view was taken, and how much the tail has acknowledged in it.
+    pub(crate) held_at_view: ChangeNo,
+    pub(crate) acked: ChangeNo,
+    /// The next view, in which a member offers this keeper a place (§5.9).
+    pub(crate) invitation: Option<View>,
+    pub(crate) leaving: Option<Leaving>,
     pub(crate) proposed: Ms,
     pub(crate) fetched: Ms,
     pub(crate) half_since: Option<Ms>,
@@ -60,8 +77,8 @@
 
 impl Keeper {
     pub fn new(me: Name, now: Ms, f: RecoveredState) -> Self {
-        let rank = f.view.machines.iter().position(|m| m.name == me).unwrap_or(99) as u64;
-        let mut proposer = Proposer::new(rank);
+        // Places in a list that changes are no ranks: no two proposers may ever use one ballot.
+        let mut proposer = Proposer::new(hash64(&[me.as_bytes()]));
         proposer.seen(f.acceptor.promised.n);
         // A tail that had begun to serve in this very view has outlasted the older ones and lacks nothing.
         let served = f.view.tail() == Some(&me) && f.served == f.view.version;
@@ -79,8 +96,12 @@
             proposer,
             acceptor: f.acceptor,
             view: f.view,
+            held_at_view: f.store.n,
             store: f.store,
             log: f.log,
+            outgoing_snapshot: None,
+            incoming_snapshot: IncomingSnapshot::default(),
+            disk_usage: DiskUsage::default(),
             news: VecDeque::new(),
             packed: None,
             committed: 0,
@@ -89,8 +110,10 @@
             discovery: None,
             known: VecDeque::new(),
             heard: BTreeMap::new(),
-            // A grant of an earlier life must answer no beat of this one.
-            seq: rt::wall_ms() << 16,
+            // A grant of an earlier life must answer no beat of this one, also where the wall clock was stepped back;
+            // half of the range is left to count on.
+            seq: rt::draw_incarnation() >> 1,
+            granted_heartbeat: 0,
             sent: BTreeMap::new(),
             grants: BTreeMap::new(),
             lease_until: 0,
@@ -98,6 +121,10 @@
             waiters: Vec::new(),
             pollers: Vec::new(),
             view_since: now,
+            previous_view: None,
+            acked: 0,
+            invitation: None,
+            leaving: None,
             proposed: 0,
             fetched: 0,
             half_since: None,
@@ -106,12 +133,27 @@
         }
     }
 
-    pub fn step(&mut self, now: Ms, i: Input) -> Vec<Output> {
+    /// The time as the caller has it. A keeper that stood still itself cannot tell who was silent meanwhile: nobody's
+    /// silence counts from before then.
+    pub fn advance_clock(&mut self, now: Ms) {
+        let stood_still = now.saturating_sub(self.now);
         self.now = self.now.max(now);
+        if stood_still >= SILENT {
+            self.heard.values_mut().for_each(|heard| *heard = now);
+        }
+    }
+
+    pub fn note_disk_usage(&mut self, usage: DiskUsage) {
+        self.disk_usage = usage;
+    }
+
+    pub fn step(&mut self, now: Ms, i: Input) -> Vec<Output> {
+        self.advance_clock(now);
         match i {
             Input::Peer { from, m } => self.peer(&from, m),
             Input::Request { token, ask } => self.ask(token, ask),
             Input::Seeds(seeds) => self.seeds(seeds),
+            Input::Leave { within } => self.begin_leave(within),
             Input::Tick => self.tick(),
         }
         self.commit_and_answer();
@@ -145,13 +187,9 @@
     fn peer(&mut self, from: &Name, m: PeerMessage) {
         self.heard.insert(from.clone(), self.now);
         match m {
-            PeerMessage::Prepare { .. } | PeerMessage::Accept { .. } => {
-                if let Some((rep, dirty)) = self.acceptor.step(&m) {
-                    if dirty {
-                        self.out.push(Output::Persist(Record::Acceptor { acceptor: self.acceptor.clone() }));
-                    }
-                    self.send(from, rep);
-                }
+            PeerMessage::Prepare { ref base, .. } | PeerMessage::Accept { ref base, .. } => {
+                self.adopt(base.clone());
+                self.vote(from, &m);
             }
             PeerMessage::Promise { .. } | PeerMessage::Accepted { .. } => {
                 let actions = self.proposer.step(from, &m);
@@ -161,30 +199,22 @@
                 let version = view.version;
                 self.inform_outsider(from, &view);
                 self.adopt(view);
-                if self.acceptor.version() <= version {
+                if self.acceptor.version() <= version && self.view.version <= version {
                     self.send(from, PeerMessage::Grant { version, seq });
                 }
             }
             PeerMessage::Grant { version, seq } => self.granted(from, version, seq),
             PeerMessage::Pass { version, prev, entries, end } => self.pass(from, version, prev, entries, end),
-            PeerMessage::Need { version, n } => self.need(from, version, n),
+            PeerMessage::Need { version, n, progress } => self.need(from, version, n, progress),
             PeerMessage::Ack { version, committed, in_force } => {
                 self.acked(from, version, committed, in_force)
             }
-            PeerMessage::Fetch { version } => self.fetch(from, version),
+            PeerMessage::Fetch { version, progress } => self.fetch(from, version, progress),
             PeerMessage::Leases { version, rows, unknown_leases } => {
-                // Once it has served in this view it has granted leases itself, perhaps in an earlier life.
-                if version == self.view.version
-                    && self.served != version
-                    && self.is_tail()
-                    && self.view.neighbour(&self.me, -1) == Some(from)
-                {
-                    let now = self.now;
-                    self.leases().handed(now, &rows, unknown_leases);
-                }
+                self.take_over_leases(from, version, &rows, unknown_leases);
             }
-            PeerMessage::Snapshot { version, store, join, dismissed_leases, unknown_leases } => {
-                if self.install_snapshot(from, version, *store, join) {
+            PeerMessage::Snapshot { version, part, join, dismissed_leases, unknown_leases } => {
+                if self.take_snapshot_part(from, version, part, join) {
                     self.unknown_leases_until = self.now + unknown_leases;
                     self.dismissed_leases =
                         dismissed_leases.into_iter().map(|(n, left)| (n, self.now + left)).collect();
@@ -192,6 +222,26 @@
             }
             PeerMessage::Discover { at } => self.on_discover(from, at),
             PeerMessage::CurrentView { view } => self.adopt(view),
+            PeerMessage::Invite { base, view } => self.invited(base, view),
+        }
+    }
+
+    /// Answers a proposer whose base is known here by now.
+    fn vote(&mut self, proposer: &Name, message: &PeerMessage) {
+        let Some((answer, changed)) = self.acceptor.step(self.view.version, message) else { return };
+        if changed {
+            self.out.push(Output::Persist(Record::Acceptor { acceptor: self.acceptor.clone() }));
+        }
+        self.send(proposer, answer);
+    }
+
+    /// A proposal of this keeper's is decided: those that vote hear it by heartbeat, those that no longer do are told.
+    fn announce(&mut self, view: View, base: &View) {
+        self.out.push(Output::Say(format!("view {} is agreed: {}", view.version, view.members.join(" "))));
+        self.adopt(view.clone());
+        self.beat();
+        for machine in base.machines.iter().filter(|m| !view.is_voter(&m.name)) {
+            self.send(&machine.name, PeerMessage::CurrentView { view: view.clone() });
         }
     }
 
@@ -199,15 +249,7 @@
         for action in actions {
             match action {
                 ProposerAction::Send(to, m) => self.send(&to, m),
-                ProposerAction::Decided(v) => {
-                    self.out.push(Output::Say(format!(
-                        "view {} is agreed: {}",
-                        v.version,
-                        v.members.join(" ")
-                    )));
-                    self.adopt(v);
-                    self.beat();
-                }
+                ProposerAction::Decided { view, base } => self.announce(view, &base),
             }
         }
     }
@@ -217,13 +259,16 @@
         if self.now >= self.next_beat && !self.outside_view() {
             self.beat();
             if let Some(p) = self.view.neighbour(&self.me, -1).cloned() {
-                let need = PeerMessage::Need { version: self.view.version, n: self.store.n };
-                self.send(&p, need);
+                self.request_next(&p);
                 // Said again each time, as it may be lost or have crossed a change of view.
                 let ack = self.ack();
                 self.send(&p, ack);
             }
         }
-        self.repair_view();
+        if self.leaving.is_some() {
+            self.leave();
+        } else {
+            self.repair_view();
+        }
     }
 }
--- a/crates/qh-state/src/requests.rs
+++ b/crates/qh-state/src/requests.rs
@@ -1,7 +1,9 @@
 //! What nodes and operators ask of a keeper: feed, writes, membership, status (§5.2, §5.6).
+use crate::ack_level::AckLevel;
+use crate::entry_log::PackedEntry;
 use crate::keeper::{Keeper, Output, Record};
 use crate::lease::Leases;
-use crate::messages::{Answer, Command, Entry, KeeperStatus, Machine, Reply, Request, View};
+use crate::messages::{Answer, Command, Entry, Machine, Reply, Request, View};
 use crate::terms::{ADOPT_WAIT, FEED, NODE_LEASE};
 use qh_core::{ChangeNo, Code, Ms, Name, Version};
 
@@ -18,33 +20,11 @@
     pub n: ChangeNo,
     pub answer: Answer,
     pub ends: AckLevel,
+    /// Where no new entry proves it: a majority must grant a heartbeat sent after that one.
+    pub contact_after: Option<u64>,
     pub until: Ms,
 }
 
-/// When a write is answered (§5.6).
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) enum AckLevel {
-    Committed,
-    InForce,
-    /// In force, or committed for [`ADOPT_WAIT`].
-    Soon,
-}
-
-impl AckLevel {
-    /// A close must be in force before another server is named (§5.5), and so is a push told; a new list, which comes
-    /// after it, need only be committed.
-    fn of(cmd: &Command) -> AckLevel {
-        match cmd {
-            Command::Push { .. } => AckLevel::InForce,
-            Command::SetLead { lead, .. } if lead.server.is_none() && lead.counts.is_empty() => {
-                AckLevel::InForce
-            }
-            Command::Adopt { .. } => AckLevel::Soon,
-            _ => AckLevel::Committed,
-        }
-    }
-}
-
 /// A node whose poll waits at the tail for news.
 #[derive(Clone, Debug)]
 pub(crate) struct PendingPoll {
@@ -117,22 +97,30 @@
                 why: Code::ChainDown.because("too many writes wait").retry(1_000),
             });
         }
-        let past = self.store.past(&key).cloned();
+        if self.disk_usage.is_reserve_touched() && cmd.is_document() {
+            let why = Code::ChainDown.because("the disk is nearly full").retry(1_000);
+            return Some(Reply::Declined { why });
+        }
         let ends = AckLevel::of(&cmd);
-        let (n, answer) = match past {
-            Some(p) if p.sum == cmd.sum() => (p.n, p.answer),
-            Some(p) => (p.n, Answer::Declined(Code::PushConflict.bare())),
-            None if self.store.no_op_answer(&cmd).is_some() => (self.store.n, self.store.no_op_answer(&cmd)?),
+        let (n, answer, contact_after) = match self.recorded_answer(&key, &cmd) {
+            Some(recorded) => (recorded.entry, recorded.answer, Some(self.request_contact(&cmd))),
             None => {
                 let had = self.store.n;
                 let e = Entry { n: had + 1, key, cmd };
-                let a = self.append(e)?;
+                let a = self.append(&e, PackedEntry::of(&e))?;
                 self.pass_on(had);
-                (had + 1, a)
+                (had + 1, a, None)
             }
         };
         let ends = if matches!(answer, Answer::Declined(_)) { AckLevel::Committed } else { ends };
-        self.waiters.push(PendingWrite { token, n, answer, ends, until: self.now + WRITE_WAIT });
+        self.waiters.push(PendingWrite {
+            token,
+            n,
+            answer,
+            ends,
+            contact_after,
+            until: self.now + WRITE_WAIT,
+        });
         None
     }
 
@@ -191,7 +179,7 @@
             };
             if !head {
                 self.out.push(Output::Reply(w.token, Reply::Elsewhere { view: self.view.clone() }));
-            } else if done {
+            } else if done && w.contact_after.is_none_or(|beat| self.in_contact_since(beat)) {
                 self.out.push(Output::Reply(w.token, Reply::Answer { n: w.n, answer: w.answer }));
             } else if now >= w.until {
                 let why =
@@ -212,35 +200,12 @@
     /// Where a machine is reached: one that a view under way brings in is not in the present one yet.
     pub fn addr(&self, name: &str) -> Option<Name> {
         let half = self.acceptor.accepted.as_ref().and_then(|(_, v)| v.addr(name));
-        self.view.addr(name).or(half).cloned().or_else(|| self.candidate_addr(name))
-    }
-
-    pub fn status(&self) -> KeeperStatus {
-        let why = if !self.view.has(&self.me) {
-            "outside the view"
-        } else if !self.is_tail() {
-            "in the chain"
-        } else if !self.joined {
-            "waits for its forerunner"
-        } else if self.now < self.wait_until {
-            "waits the old tail out"
-        } else if self.now >= self.lease_until {
-            "no majority renews the view lease"
-        } else if !self.commits() {
-            "the chain is too short to commit"
-        } else {
-            "serves as the tail"
-        };
-        KeeperStatus {
-            name: self.me.clone(),
-            view: self.view.clone(),
-            n: self.store.n,
-            committed: self.committed,
-            in_force: self.in_force,
-            version: self.store.version(),
-            serving: self.serving(),
-            why: why.into(),
-            leases: self.leases.as_ref().map(|l| l.rows(self.now)).unwrap_or_default(),
-        }
+        let before = self.previous_view.as_ref().and_then(|v| v.addr(name));
+        self.view
+            .addr(name)
+            .or(half)
+            .cloned()
+            .or_else(|| self.candidate_addr(name))
+            .or_else(|| before.cloned())
     }
 }
