--- a/crates/qh-mesh/src/member.rs
+++ b/crates/qh-mesh/src/member.rs
@@ -1,6 +1,7 @@
 //! Partial views, shuffled; liveness by direct and indirect asking, suspicion with refutation (§6.1, §6.2).
 //! Sans-IO.
 use crate::msgs::{Letter, Life, MeshMsg, Rumor};
+use crate::probe::Relay;
 use qh_core::rng::Rng;
 use qh_core::{Beat, Ms, Name};
 use std::collections::BTreeMap;
@@ -16,6 +17,8 @@
 /// How often a rumor is passed on, and how many ride on one letter.
 const TOLD: u32 = 6;
 const RIDERS: usize = 12;
+/// The number of a ping whose answer is not waited for.
+pub(crate) const NO_PROBE: u64 = 0;
 
 #[derive(Clone, Debug)]
 pub(crate) struct Known {
@@ -31,15 +34,6 @@
     pub indirect: bool,
 }
 
-/// A probe for another node.
-#[derive(Clone, Debug)]
-pub(crate) struct Relay {
-    pub target: Name,
-    pub asker_addr: Name,
-    pub asker_seq: u64,
-    pub until: Ms,
-}
-
 #[derive(Clone, Debug, PartialEq)]
 pub enum Out {
     Send(Name, Letter),
@@ -234,6 +228,7 @@
         if now >= self.next[1] {
             self.next[1] = now + SHUFFLE;
             self.shuffle();
+            self.ping_dead();
         }
         if now >= self.next[2] {
             self.next[2] = now + BEATS;
@@ -247,7 +242,7 @@
         self.me.life = Life::Left;
         let all: Vec<Name> = self.known.values().map(|k| k.r.addr.clone()).collect();
         for a in all {
-            self.letter(&a, MeshMsg::Ping { seq: 0 });
+            self.letter(&a, MeshMsg::Ping { seq: NO_PROBE });
         }
         std::mem::take(&mut self.out)
     }
--- a/crates/qh-state/src/requests.rs
+++ b/crates/qh-state/src/requests.rs
@@ -97,13 +97,13 @@
                 why: Code::ChainDown.because("too many writes wait").retry(1_000),
             });
         }
-        if self.disk_usage.is_reserve_touched() && cmd.is_document() {
-            let why = Code::ChainDown.because("the disk is nearly full").retry(1_000);
-            return Some(Reply::Declined { why });
-        }
         let ends = AckLevel::of(&cmd);
         let (n, answer, contact_after) = match self.recorded_answer(&key, &cmd) {
             Some(recorded) => (recorded.entry, recorded.answer, Some(self.request_contact(&cmd))),
+            None if self.disk_usage.is_reserve_touched() && cmd.is_document() => {
+                let why = Code::ChainDown.because("the disk is nearly full").retry(1_000);
+                return Some(Reply::Declined { why });
+            }
             None => {
                 let had = self.store.n;
                 let e = Entry { n: had + 1, key, cmd };
@@ -196,16 +196,4 @@
     fn known_for(&self, n: ChangeNo) -> Option<Ms> {
         self.known.iter().find(|k| k.0 >= n).map(|k| self.now - k.1)
     }
-
-    /// Where a machine is reached: one that a view under way brings in is not in the present one yet.
-    pub fn addr(&self, name: &str) -> Option<Name> {
-        let half = self.acceptor.accepted.as_ref().and_then(|(_, v)| v.addr(name));
-        let before = self.previous_view.as_ref().and_then(|v| v.addr(name));
-        self.view
-            .addr(name)
-            .or(half)
-            .cloned()
-            .or_else(|| self.candidate_addr(name))
-            .or_else(|| before.cloned())
-    }
 }
--- a/crates/qh-state/src/store.rs
+++ b/crates/qh-state/src/store.rs
@@ -1,6 +1,6 @@
 //! What the chain's entries add up to; keepers and nodes apply the same entries to the same store (§5.2).
 use crate::documents::{DocumentOutcome, DocumentRegister, TakenNumber, document_digest};
-use crate::messages::{Answer, Command, Entry};
+use crate::messages::{Answer, Command, Entry, Leadership};
 use qh_core::{ChangeNo, Code, Fence, Lead, Name, ServerRecord, Version, hash64, messages};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -73,6 +73,9 @@
     pub fn fence(&self, duty: &str) -> Fence {
         self.fences.get(duty).map_or(0, |f| f.0)
     }
+    pub fn leadership(&self, group: &Name) -> Leadership {
+        Leadership { fence: self.fence(&duty_of(group)), lead: self.leads.get(group).cloned() }
+    }
 
     /// Takes the entry if it is the next; `None` otherwise. The answer depends on nothing but the entries.
     pub fn apply(&mut self, e: &Entry) -> Option<Answer> {
@@ -154,13 +157,12 @@
                 }
                 Answer::Done
             }
-            Command::NextFence { duty, seen, .. } if self.fence(duty) != *seen => {
-                Answer::Declined(Code::FenceLow.because("another has taken one since"))
+            Command::TakeFence { duty, by } => self.next_fence(duty, by),
+            Command::NextFence { group, by, over } if self.leadership(group) == *over => {
+                self.next_fence(&duty_of(group), by)
             }
-            Command::TakeFence { duty, by } | Command::NextFence { duty, by, .. } => {
-                let f = self.fence(duty) + 1;
-                self.fences.insert(duty.clone(), (f, by.clone()));
-                Answer::Fence(f)
+            Command::NextFence { .. } => {
+                Answer::Declined(Code::FenceLow.because("the leadership has changed since it was planned"))
             }
             Command::SetLead { group, lead } => self.set_lead(group, lead),
             Command::Settle { group, fence } => match self.leads.get_mut(group) {
@@ -188,6 +190,12 @@
         outcome.answer(self.version())
     }
 
+    fn next_fence(&mut self, duty: &Name, by: &Name) -> Answer {
+        let fence = self.fence(duty) + 1;
+        self.fences.insert(duty.clone(), (fence, by.clone()));
+        Answer::Fence(fence)
+    }
+
     /// A lead is set only under the newest fence of its duty, and a closed one is never opened again. Whoever writes,
     /// lists that hold are only added to here: an entry that brings none leaves them as they are (§5.5).
     fn set_lead(&mut self, group: &Name, lead: &Lead) -> Answer {
--- a/crates/qh-state/tests/kit/mod.rs
+++ b/crates/qh-state/tests/kit/mod.rs
@@ -1,5 +1,7 @@
 //! Keepers in a small loop of virtual time, each reached at its address (§5.1).
 #![allow(dead_code)]
+pub mod fleet;
+
 use qh_core::{ChangeNo, Ms, Name};
 use qh_state::keeper::{Input, Output, Record, RecoveredState};
 use qh_state::{
@@ -128,7 +130,7 @@
                 self.step(&n, Input::Tick);
             }
             while let Some((from, to, m)) = self.wire.pop_front() {
-                let cut = self.cut.contains(&from) || self.cut.contains(&to);
+                let cut = self.cut.contains(&to) != self.cut.contains(&from);
                 if !cut && !self.deaf.contains(&to) && !self.down.contains(&from) {
                     self.step(&to, Input::Peer { from, m });
                 }
@@ -163,6 +165,9 @@
     }
     /// The keeper that serves as the tail.
     pub fn tail(&self) -> Option<Name> {
-        self.ks.values().find(|k| k.commits() && !self.down.contains(&k.me)).map(|k| k.me.clone())
+        self.ks
+            .values()
+            .find(|k| k.commits() && !self.down.contains(&k.me) && !self.cut.contains(&k.me))
+            .map(|k| k.me.clone())
     }
 }
