--- /dev/null
+++ b/crates/qh-lab/src/control_sim/machine.rs
@@ -0,0 +1,248 @@
+//! The process of one machine: a real keeper run as the daemon runs it, and the control door before it. What a step
+//! persists is synced before anything of the same step leaves; inputs wait meanwhile.
+use super::call_kind::CallKind;
+use super::cluster::Cluster;
+use super::disk::Disk;
+use super::door;
+use super::intake;
+use super::recovery::recover;
+use crate::sim::core::Pid;
+use qh_core::rt;
+use qh_core::wire::{Caller, Destination, Identity};
+use qh_core::{Ms, Name, now};
+use qh_state::host::{Batch, KeeperHost};
+use qh_state::keeper::{Input, Output};
+use qh_state::{KeeperRequest, PeerMessage, Reply};
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+pub type Process = Arc<Mutex<KeeperProcess>>;
+
+const TICK: Duration = Duration::from_millis(20);
+/// Inputs that share one sync.
+const BATCH: usize = 65;
+/// Inputs that wait at most; more are dropped, as with the daemon's full channel.
+const INBOX: usize = 1_024;
+/// A write that lasts longer is a stall, as for the daemon's driver: requests are declined until it ends.
+const STALL: Ms = 500;
+/// A peer that does not take a message in this time is given up.
+const TAKEN_WITHIN: Duration = Duration::from_millis(500);
+
+/// A client's request that waits for its reply.
+pub struct Call {
+    pub kind: CallKind,
+    pub answer: oneshot::Sender<Reply>,
+}
+
+/// The process of one machine.
+pub struct KeeperProcess {
+    cluster: Arc<Cluster>,
+    index: usize,
+    pub(super) host: KeeperHost,
+    caller: Arc<Caller>,
+    disk: Arc<Mutex<Disk>>,
+    inbox: VecDeque<Input>,
+    /// A sync is under way; `stalled` once it lasts too long.
+    busy: bool,
+    pub(super) stalled: bool,
+    pub(super) calls: BTreeMap<u64, Call>,
+    pub(super) next_token: u64,
+}
+
+/// Starts the machine's process from its disk.
+pub fn start(cluster: &Arc<Cluster>, index: usize, pid: Pid) {
+    let (address, disk, seeds) = {
+        let mut state = cluster.state.lock().unwrap();
+        state.machines[index].pid = pid;
+        let machine = &state.machines[index];
+        (machine.address.clone(), machine.disk.clone(), state.seeds.clone())
+    };
+    let host = recover(cluster, &address, &disk, &seeds);
+    let me = Identity::new(host.name());
+    let process = Arc::new(Mutex::new(KeeperProcess {
+        cluster: cluster.clone(),
+        index,
+        host,
+        caller: Caller::new(me.clone()),
+        disk,
+        inbox: VecDeque::new(),
+        busy: false,
+        stalled: false,
+        calls: BTreeMap::new(),
+        next_token: 0,
+    }));
+    cluster.state.lock().unwrap().machines[index].process = Some(process.clone());
+    intake::listen(cluster, &process, &address, pid, me);
+    door::open(cluster, pid, &address, &seeds);
+    rt::spawn(async move {
+        loop {
+            rt::sleep(TICK).await;
+            tick(&process);
+        }
+    });
+}
+
+/// The process is told other seeds.
+pub fn tell_seeds(process: &Process, seeds: Vec<Name>) {
+    input(process, Input::Seeds(seeds));
+}
+
+/// The process is told to leave the chain and end.
+pub fn tell_to_leave(process: &Process, within: Ms) {
+    input(process, Input::Leave { within });
+}
+
+pub fn has_left(process: &Process) -> bool {
+    process.lock().unwrap().host.has_left()
+}
+
+fn tick(process: &Process) {
+    if !process.lock().unwrap().busy {
+        input(process, Input::Tick);
+    }
+}
+
+pub fn input(process: &Process, input: Input) {
+    {
+        let mut process = process.lock().unwrap();
+        if process.inbox.len() < INBOX {
+            process.inbox.push_back(input);
+        }
+    }
+    work(process);
+}
+
+/// Steps whatever has come, unless a sync is under way.
+fn work(shared: &Process) {
+    let mut process = shared.lock().unwrap();
+    while !process.busy && !process.inbox.is_empty() {
+        let batch = process.step_batch();
+        process.begin(shared, batch);
+    }
+}
+
+/// The sync is done, or was refused: what the steps sent leaves now. A suspended keeper tries its disk.
+fn finish(shared: &Process, batch: Batch) {
+    {
+        let mut process = shared.lock().unwrap();
+        process.busy = false;
+        process.stalled = false;
+        process.complete(batch);
+    }
+    work(shared);
+}
+
+/// Waits as long as the disk takes; requests are declined once that is too long.
+async fn sync(shared: Process, batch: Batch, cost: Ms) {
+    let (disk, core) = {
+        let process = shared.lock().unwrap();
+        (process.disk.clone(), process.cluster.core.clone())
+    };
+    let began = core.now();
+    let sync = disk.lock().unwrap().sync_ms;
+    rt::sleep(Duration::from_millis(sync + cost)).await;
+    while disk.lock().unwrap().stalled_until > core.now() {
+        if core.now() >= began + STALL {
+            decline_stalled(&shared);
+        }
+        rt::sleep(TICK).await;
+    }
+    finish(&shared, batch);
+}
+
+/// Whoever waits for a write that lasts too long is told to ask again.
+fn decline_stalled(shared: &Process) {
+    let mut process = shared.lock().unwrap();
+    if !process.stalled {
+        process.stalled = true;
+        let declined = process.host.decline_pending();
+        process.emit(declined);
+    }
+}
+
+impl KeeperProcess {
+    fn step_batch(&mut self) -> Batch {
+        let mut batch = Batch::default();
+        let count = self.inbox.len().min(BATCH);
+        for input in self.inbox.drain(..count) {
+            self.host.step(now(), input, &mut batch);
+        }
+        if let Some(keeper) = self.host.keeper() {
+            self.cluster.invariants.lock().unwrap().observe(self.cluster.core.now(), keeper);
+        }
+        batch
+    }
+
+    /// Makes the batch durable, then sends what came of it.
+    fn begin(&mut self, shared: &Process, batch: Batch) {
+        let cost = self.cost();
+        if batch.records.is_empty() && cost == 0 {
+            return self.complete(batch);
+        }
+        self.busy = true;
+        self.disk.lock().unwrap().write(batch.records.clone());
+        rt::spawn(sync(shared.clone(), batch, cost));
+    }
+
+    fn complete(&mut self, batch: Batch) {
+        let at = self.cluster.core.now();
+        let saved = if batch.records.is_empty() { Ok(()) } else { self.disk.lock().unwrap().sync(at) };
+        let outputs = self.host.saved(now(), saved, batch);
+        self.emit(outputs);
+        if self.host.is_probe_due(now()) {
+            let recovered = self.disk.lock().unwrap().probe(at);
+            let resumed = self.host.probed(now(), recovered);
+            let outputs = self.host.saved(now(), Ok(()), resumed);
+            self.emit(outputs);
+        }
+    }
+
+    fn cost(&self) -> Ms {
+        self.cluster.state.lock().unwrap().machines[self.index].slow_ms
+    }
+
+    fn emit(&mut self, outputs: Vec<Output>) {
+        if let Some(keeper) = self.host.keeper() {
+            self.cluster.invariants.lock().unwrap().leaves(keeper);
+        }
+        for output in outputs {
+            match output {
+                Output::Persist(_) => {}
+                Output::Send(to, message) => self.send(to, message),
+                Output::Reply(token, reply) => self.reply(token, reply),
+                Output::Say(line) => self.cluster.core.say(&format!("{}: {line}", self.host.name())),
+            }
+        }
+    }
+
+    fn send(&self, to: Name, m: PeerMessage) {
+        let Some(address) = self.host.keeper().and_then(|keeper| keeper.addr(&to)) else { return };
+        let (caller, from) = (self.caller.clone(), self.host.name().clone());
+        rt::spawn(async move {
+            // Seeds are known by their address alone; everything else is for the keeper of that very name.
+            let destination = match m {
+                PeerMessage::Discover { .. } => Destination::address(&address),
+                _ => Destination::process(&to, &address),
+            };
+            let request = KeeperRequest::Peer { from, m };
+            // The protocol sends again what is not taken.
+            drop(caller.call(destination, &request, TAKEN_WITHIN).await);
+        });
+    }
+
+    fn reply(&mut self, token: u64, reply: Reply) {
+        let at = self.cluster.core.now();
+        let Some(call) = self.calls.remove(&token) else {
+            let mut invariants = self.cluster.invariants.lock().unwrap();
+            return invariants.breach(format!("C5 {} answers a call twice at {at}", self.host.name()));
+        };
+        if !call.kind.accepts(&reply) {
+            let mut invariants = self.cluster.invariants.lock().unwrap();
+            let text = format!("C5 {} answers {:?} with another kind at {at}", self.host.name(), call.kind);
+            invariants.breach(text);
+        }
+        drop(call.answer.send(reply));
+    }
+}
--- /dev/null
+++ b/crates/qh-lab/src/control_sim/parameters.rs
@@ -0,0 +1,111 @@
+//! Every figure of the simulated control plane in one place: shapes, terms, and which faults are drawn.
+use qh_core::Ms;
+
+/// How many machines with a disk there are, how many of them vote, and how many may be lost at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shape {
+    pub voters: usize,
+    pub machines: usize,
+    pub tolerated: usize,
+}
+
+pub const SHAPES: [Shape; 3] = [
+    Shape { voters: 3, machines: 3, tolerated: 1 },
+    Shape { voters: 3, machines: 4, tolerated: 1 },
+    Shape { voters: 5, machines: 8, tolerated: 2 },
+];
+
+/// What the present code is known not to withstand; none of it is drawn unless it is allowed here.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Allowed {
+    /// Another machine may be lost while one leaves in order or has just left, if the successor of the one that leaves
+    /// has had its time.
+    pub loss_while_leaving: bool,
+    /// A machine may come back with its disk at another address.
+    pub moved_machines: bool,
+}
+
+impl Allowed {
+    pub const ALL: Allowed = Allowed { loss_while_leaving: true, moved_machines: true };
+
+    /// Reads a list such as `loss-while-leaving,moved-machines`; `all` stands for every one.
+    pub fn parse(list: &str) -> Result<Allowed, String> {
+        let mut allowed = Allowed::default();
+        for word in list.split(',').filter(|word| !word.is_empty()) {
+            match word {
+                "all" => allowed = Allowed::ALL,
+                "loss-while-leaving" => allowed.loss_while_leaving = true,
+                "moved-machines" => allowed.moved_machines = true,
+                other => return Err(format!("--allow: {other:?} is unknown")),
+            }
+        }
+        Ok(allowed)
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Parameters {
+    pub shape: Shape,
+    /// A machine that is stopped in order has so long to leave the chain, as the platform's has.
+    pub leave_within: Ms,
+    /// A machine counts as lost for so long after its return, or after its successor's start.
+    pub catch_up: Ms,
+    /// The core is settled once nothing has troubled it for so long.
+    pub contact: Ms,
+    /// A settled core acknowledges a proper order within this time.
+    pub ack: Ms,
+    /// A node that holds a lease has an acknowledged document in force after so long.
+    pub config_apply: Ms,
+    /// The operators' list of seeds lags behind the machines by so much.
+    pub seed_lag: Ms,
+    /// A removed machine's successor starts so long after it.
+    pub successor_after: Ms,
+    pub allowed: Allowed,
+    /// Faults begin at this time, and no new one does after that.
+    pub faults_from: Ms,
+    pub faults_until: Ms,
+    /// Mean time between two faults.
+    pub fault_gap: Ms,
+    /// Time for healing before the last read.
+    pub healing: Ms,
+    pub operators: usize,
+    pub readers: usize,
+    pub nodes: usize,
+    /// Orders one operator may have under way at once.
+    pub orders_at_once: usize,
+    /// Longest pause between two orders of one operator.
+    pub order_pause: Ms,
+}
+
+const LEAVE_WITHIN: Ms = 3_000;
+/// Every so many seeds of a shape, one is a storm of changes; the others have few.
+const STORM_EVERY: u64 = 8;
+
+impl Parameters {
+    /// The parameters of a seed.
+    pub fn for_seed(seed: u64, allowed: Allowed) -> Parameters {
+        let shape = SHAPES[(seed % SHAPES.len() as u64) as usize];
+        let catch_up = if shape.tolerated > 1 { 6_000 } else { 4_000 };
+        let storm = (seed / SHAPES.len() as u64).is_multiple_of(STORM_EVERY);
+        Parameters {
+            shape,
+            allowed,
+            leave_within: LEAVE_WITHIN,
+            catch_up,
+            contact: 4_000,
+            ack: 5_000,
+            config_apply: 3_000,
+            seed_lag: 3_000,
+            successor_after: 1_000,
+            faults_from: 6_000,
+            faults_until: 36_000,
+            fault_gap: 2_500,
+            healing: 12_000,
+            operators: 2 + (seed % 2) as usize,
+            readers: 2,
+            nodes: 2,
+            orders_at_once: if storm { 6 } else { 2 },
+            order_pause: if storm { 400 } else { 1_800 },
+        }
+    }
+}
--- /dev/null
+++ b/crates/qh-lab/src/control_sim/recovery.rs
@@ -0,0 +1,32 @@
+//! A keeper from what its disk holds, set up as the platform does.
+use super::cluster::Cluster;
+use super::disk::Disk;
+use qh_core::{Name, now, rt};
+use qh_state::host::KeeperHost;
+use qh_state::keeper::RecoveredState;
+use qh_state::{DiscoverySettings, Keeper, View, terms};
+use std::sync::Mutex;
+
+/// Two deliberate bugs are here: a start from an older snapshot, and one with an empty disk under a voter's old name.
+pub fn recover(cluster: &Cluster, address: &Name, disk: &Mutex<Disk>, seeds: &[Name]) -> KeeperHost {
+    let shape = cluster.parameters.shape;
+    let disk = disk.lock().unwrap();
+    let forgotten = rt::broken("forgotten-votes") && !cluster.state.lock().unwrap().first_start;
+    let found = match (rt::broken("stale-snapshot"), forgotten) {
+        (true, _) => disk.stale(),
+        (_, true) => RecoveredState { view: View::first(seeds), ..Default::default() },
+        _ => disk.recover(),
+    };
+    let name = if forgotten { address.clone() } else { Name::from(disk.name.as_str()) };
+    let settings = DiscoverySettings {
+        at: address.clone(),
+        seeds: seeds.to_vec(),
+        replace_after: terms::replace_after(cluster.parameters.catch_up),
+        machines: shape.voters,
+    };
+    let disks = (shape.tolerated + 1).min(seeds.len());
+    let make = move |state, now| {
+        Keeper::new(name.clone(), now, state).seeking(settings.clone()).committing_on(disks)
+    };
+    KeeperHost::new(found, now(), Box::new(make))
+}
--- a/crates/qh-state/src/register.rs
+++ b/crates/qh-state/src/register.rs
@@ -156,7 +156,7 @@
             return Vec::new();
         }
         a.promises.insert(from.clone(), accepted);
-        if !a.base.majority(a.promises.keys()) {
+        if !old_majority(&a.base, a.promises.keys()) {
             return Vec::new();
         }
         let view = a.choose();
@@ -174,7 +174,7 @@
         }
         a.accepted_by.insert(from.clone());
         let Some(view) = a.proposed.clone() else { return Vec::new() };
-        if !a.base.majority(a.accepted_by.iter()) || !view.majority(a.accepted_by.iter()) {
+        if !old_majority(&a.base, a.accepted_by.iter()) || !view.majority(a.accepted_by.iter()) {
             return Vec::new();
         }
         let base = a.base.clone();
@@ -183,6 +183,11 @@
     }
 }
 
+/// A majority of the old set must take part in every change of the register.
+fn old_majority<'a>(base: &View, who: impl Iterator<Item = &'a Name>) -> bool {
+    base.majority(who) || qh_core::rt::broken("no-old-majority")
+}
+
 /// Who votes on a change: the machines of both views.
 fn acceptors(base: &View, next: &View) -> Vec<Name> {
     let names: BTreeSet<Name> = base.machines.iter().chain(&next.machines).map(|m| m.name.clone()).collect();
