--- a/crates/qh-lab/tests/choice/net.rs
+++ b/crates/qh-lab/tests/choice/net.rs
@@ -210,8 +210,7 @@
             Act::Name(i) => {
                 let Some(Out::SetLead { lead, .. }) = n.at(i).asks.take() else { return None };
                 n.write(set_lead(lead.clone()))?;
-                let s = n.index(lead.server.as_ref()?);
-                n.named.push((lead.fence, s));
+                n.named.push((lead.fence, n.index(lead.server.as_ref()?)));
                 n.step(i, In::Named)?;
             }
             Act::Request(r, l) => {
