--- a/crates/qh-lab/src/capacity/counted.rs
+++ b/crates/qh-lab/src/capacity/counted.rs
@@ -7,10 +7,10 @@
 use crate::sim::net::OnFrame;
 use qh_core::wire::{Call, Incoming, LENGTH_BYTES, RequestHeader};
 use qh_core::{Name, rt};
-use qh_mesh::{MeshMsg, NodeAsk, NodeKnock};
+use qh_mesh::{GossipMessage, NodeQuery, NodeRequest};
 use qh_state::keeper::RecoveredState;
 use qh_state::{Command, KeeperRequest, Machine, Request, View};
-use qhd::{Fleet, meshd};
+use qhd::{Fleet, mesh_driver};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -50,14 +50,16 @@
 
 fn to_node(b: &[u8]) -> &'static str {
     match asked(b) {
-        Some(NodeKnock::Letter { l }) => match l.m {
-            MeshMsg::Ping { .. } | MeshMsg::Pong { .. } | MeshMsg::PingFor { .. } => "mesh probes",
-            MeshMsg::Shuffle { .. } | MeshMsg::Shuffled { .. } => "mesh views",
-            MeshMsg::Beats { .. } => "mesh beats",
+        Some(NodeRequest::Gossip { message }) => match message.m {
+            GossipMessage::Ping { .. } | GossipMessage::Pong { .. } | GossipMessage::PingFor { .. } => {
+                "mesh probes"
+            }
+            GossipMessage::Shuffle { .. } | GossipMessage::Shuffled { .. } => "mesh views",
+            GossipMessage::Beats { .. } => "mesh beats",
         },
-        Some(NodeKnock::Ask { ask: NodeAsk::Acked { .. } }) => "acked",
-        Some(NodeKnock::Ask { ask: NodeAsk::Digests { .. } | NodeAsk::Range { .. } }) => "copies",
-        Some(NodeKnock::Ask { .. }) => "asks",
+        Some(NodeRequest::Query { query: NodeQuery::Acked { .. } }) => "acked",
+        Some(NodeRequest::Query { query: NodeQuery::Digests { .. } | NodeQuery::Range { .. } }) => "copies",
+        Some(NodeRequest::Query { .. }) => "asks",
         _ => "none",
     }
 }
@@ -110,7 +112,7 @@
         let on = f.clone();
         let on_frame = move |b: Vec<u8>| {
             let f = on.clone();
-            Box::pin(async move { meshd::respond(&f, &b).await }) as rt::Fut<'_, _>
+            Box::pin(async move { mesh_driver::respond(&f, &b).await }) as rt::Fut<'_, _>
         };
         c.listen_frames(&s.mesh, pid, Arc::new(on_frame));
         tap(c, &s.mesh, to_node, &to);
--- a/crates/qh-lab/src/capacity/hollow.rs
+++ b/crates/qh-lab/src/capacity/hollow.rs
@@ -6,8 +6,8 @@
 use qh_state::disk::Disk;
 use qh_state::host::KeeperHost;
 use qh_state::{Command, Keeper, Machine, View, driver};
-use qhd::chainc::Chain;
-use qhd::{Fleet, meshd};
+use qhd::chain_client::Chain;
+use qhd::{Fleet, mesh_driver};
 use serde_json::{Value, json};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::Ordering;
@@ -77,7 +77,7 @@
             for (i, (addr, lst)) in at.into_iter().enumerate() {
                 let f = Fleet::with(&settings(i, addr, seeds.clone(), keepers.clone()), Some(ports.ports()));
                 if let Ok(lst) = TcpListener::from_std(lst) {
-                    rt::spawn(meshd::serve(f.clone(), lst));
+                    rt::spawn(mesh_driver::serve(f.clone(), lst));
                 }
                 f.go();
                 made.lock().unwrap().push(f);
--- a/crates/qh-lab/src/capacity/parts.rs
+++ b/crates/qh-lab/src/capacity/parts.rs
@@ -26,15 +26,22 @@
     let peers: std::collections::BTreeMap<Name, Rumor> =
         (1..nodes).map(|i| (rumor(i).addr.clone(), rumor(i))).collect();
     for r in peers.values() {
-        m.take(0, qh_mesh::Letter { from: r.clone(), rumors: vec![], m: qh_mesh::MeshMsg::Pong { seq: 0 } });
+        m.take(
+            0,
+            qh_mesh::GossipEnvelope {
+                from: r.clone(),
+                rumors: vec![],
+                m: qh_mesh::GossipMessage::Pong { seq: 0 },
+            },
+        );
     }
     let answer = |m: &mut Mesh, now: u64, outs: Vec<qh_mesh::member::Out>| {
         for o in outs {
             let qh_mesh::member::Out::Send(to, l) = o else { continue };
-            let qh_mesh::MeshMsg::Ping { seq } = l.m else { continue };
+            let qh_mesh::GossipMessage::Ping { seq } = l.m else { continue };
             if let Some(from) = peers.get(&to).cloned() {
-                let m2 = qh_mesh::MeshMsg::Pong { seq };
-                m.take(now, qh_mesh::Letter { from, rumors: vec![], m: m2 });
+                let m2 = qh_mesh::GossipMessage::Pong { seq };
+                m.take(now, qh_mesh::GossipEnvelope { from, rumors: vec![], m: m2 });
             }
         }
     };
--- a/crates/qh-lab/src/control_sim/door.rs
+++ b/crates/qh-lab/src/control_sim/door.rs
@@ -6,7 +6,7 @@
 use qh_core::{Code, Error, Name, messages};
 use qh_state::Command;
 use qh_state::documents::document_digest;
-use qhd::chainc::Chain;
+use qhd::chain_client::Chain;
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/crates/qh-lab/src/control_sim/node.rs
+++ b/crates/qh-lab/src/control_sim/node.rs
@@ -4,7 +4,7 @@
 use qh_core::{ChangeNo, Ms, Name, now, rt};
 use qh_state::terms::safe;
 use qh_state::{Answer, Command, FeedState, Reply, Request};
-use qhd::chainc::Chain;
+use qhd::chain_client::Chain;
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/crates/qh-lab/src/sim/held/laid.rs
+++ b/crates/qh-lab/src/sim/held/laid.rs
@@ -8,7 +8,7 @@
 use qh_data::held::Held;
 use qh_state::keeper::RecoveredState;
 use qh_state::{Machine, View};
-use qhd::{Fleet, meshd};
+use qhd::{Fleet, mesh_driver};
 use std::sync::{Arc, Mutex};
 
 pub const GROUP: &str = "g";
@@ -80,7 +80,7 @@
     let to = fleet.clone();
     let on_frame = move |b: Vec<u8>| {
         let f = to.clone();
-        Box::pin(async move { meshd::respond(&f, &b).await }) as rt::Fut<'_, _>
+        Box::pin(async move { mesh_driver::respond(&f, &b).await }) as rt::Fut<'_, _>
     };
     core.listen_frames(&set.mesh, pid, Arc::new(on_frame));
     fleet.go();
--- a/crates/qh-lab/src/sim/held/operator.rs
+++ b/crates/qh-lab/src/sim/held/operator.rs
@@ -3,7 +3,7 @@
 use super::laid::{GROUP, Laid, SERVERS};
 use qh_core::{Ms, Role, ServerRecord, rt};
 use qh_state::Command;
-use qhd::chainc::Chain;
+use qhd::chain_client::Chain;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
--- a/crates/qh-lab/src/sim/procs.rs
+++ b/crates/qh-lab/src/sim/procs.rs
@@ -13,7 +13,7 @@
 use qh_data::door::Knock;
 use qh_state::keeper::RecoveredState;
 use qh_state::{Machine, View};
-use qhd::{Fleet, desk, meshd};
+use qhd::{Fleet, mesh_driver, operator_api};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 
@@ -78,13 +78,13 @@
     let n = f.node.clone();
     let door: OnHttp = Arc::new(move |v| {
         let n = n.clone();
-        Box::pin(async move { Some(desk::origin(&n, knock(v)).await) })
+        Box::pin(async move { Some(operator_api::origin(&n, knock(v)).await) })
     });
     core.listen_http(&set.door, pid, door, Arc::new(|_| ()));
     let g = f.clone();
     let at_desk: OnHttp = Arc::new(move |v| {
         let f = g.clone();
-        Box::pin(async move { Some(desk::answer(&f, knock(v)).await) })
+        Box::pin(async move { Some(operator_api::answer(&f, knock(v)).await) })
     });
     core.listen_http(&set.desk, pid, at_desk, Arc::new(|_| ()));
     let g = f.clone();
@@ -92,7 +92,7 @@
         &set.mesh,
         pid,
         Arc::new(move |b| {
-            let got = meshd::respond_at_once(&g, &b);
+            let got = mesh_driver::respond_at_once(&g, &b);
             Box::pin(async move { got })
         }),
     );
--- a/crates/qh-lab/tests/held/fleet.rs
+++ b/crates/qh-lab/tests/held/fleet.rs
@@ -6,7 +6,7 @@
 use qh_lab::sim::keeper::{self, Disk, Keepers};
 use qh_state::keeper::RecoveredState;
 use qh_state::{Command, Machine, View};
-use qhd::{Fleet, meshd};
+use qhd::{Fleet, mesh_driver};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -66,7 +66,7 @@
                 let to = f.clone();
                 let on_frame = move |b: Vec<u8>| {
                     let f = to.clone();
-                    Box::pin(async move { meshd::respond(&f, &b).await }) as rt::Fut<'_, _>
+                    Box::pin(async move { mesh_driver::respond(&f, &b).await }) as rt::Fut<'_, _>
                 };
                 c.listen_frames(&set.mesh, pid, Arc::new(on_frame));
                 f.go();
--- a/crates/qh-mesh/src/lib.rs
+++ b/crates/qh-mesh/src/lib.rs
@@ -3,9 +3,9 @@
 pub mod copies;
 pub mod duty;
 pub mod member;
-pub mod msgs;
+pub mod messages;
 mod probe;
 mod short;
 
 pub use member::Mesh;
-pub use msgs::*;
+pub use messages::*;
--- a/crates/qh-mesh/src/member.rs
+++ b/crates/qh-mesh/src/member.rs
@@ -1,6 +1,6 @@
 //! Partial views, shuffled; liveness by direct and indirect asking, suspicion with refutation (§6.1, §6.2).
 //! Sans-IO.
-use crate::msgs::{Letter, Life, MeshMsg, Rumor};
+use crate::messages::{GossipEnvelope, GossipMessage, Life, Rumor};
 use crate::probe::Relay;
 use qh_core::rng::Rng;
 use qh_core::{Beat, Ms, Name};
@@ -36,7 +36,7 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Out {
-    Send(Name, Letter),
+    Send(Name, GossipEnvelope),
     /// Beats that came over the mesh.
     Beats(Vec<Beat>),
     Turned(Name, Life),
@@ -105,7 +105,7 @@
         &self.view
     }
 
-    pub(crate) fn letter(&mut self, to: &Name, m: MeshMsg) {
+    pub(crate) fn letter(&mut self, to: &Name, m: GossipMessage) {
         let mut fresh: Vec<_> = self.known.values_mut().filter(|k| k.told < TOLD).collect();
         fresh.sort_by_key(|k| k.told);
         let rumors = fresh
@@ -117,7 +117,7 @@
             })
             .collect();
         self.sent += 1;
-        self.out.push(Out::Send(to.clone(), Letter { from: self.me.clone(), rumors, m }));
+        self.out.push(Out::Send(to.clone(), GossipEnvelope { from: self.me.clone(), rumors, m }));
     }
 
     /// A beat learned here is spread on.
@@ -128,27 +128,27 @@
         }
     }
 
-    pub fn take(&mut self, now: Ms, l: Letter) -> Vec<Out> {
+    pub fn take(&mut self, now: Ms, l: GossipEnvelope) -> Vec<Out> {
         let from = l.from.clone();
         self.hear(now, l.from, true);
         l.rumors.into_iter().for_each(|r| self.hear(now, r, false));
         match l.m {
-            MeshMsg::Ping { seq } => self.letter(&from.addr, MeshMsg::Pong { seq }),
-            MeshMsg::Pong { seq } => self.pong(&from, seq),
-            MeshMsg::PingFor { seq, target, addr } => {
+            GossipMessage::Ping { seq } => self.letter(&from.addr, GossipMessage::Pong { seq }),
+            GossipMessage::Pong { seq } => self.pong(&from, seq),
+            GossipMessage::PingFor { seq, target, addr } => {
                 self.seq += 1;
                 let mine = self.seq;
                 let until = now + INDIRECT_WITHIN;
                 self.relays.insert(mine, Relay { target, asker_addr: from.addr, asker_seq: seq, until });
-                self.letter(&addr, MeshMsg::Ping { seq: mine });
+                self.letter(&addr, GossipMessage::Ping { seq: mine });
             }
-            MeshMsg::Shuffle { peers } => {
+            GossipMessage::Shuffle { peers } => {
                 let mine = self.half();
-                self.letter(&from.addr, MeshMsg::Shuffled { peers: mine });
+                self.letter(&from.addr, GossipMessage::Shuffled { peers: mine });
                 self.swap_in(now, peers);
             }
-            MeshMsg::Shuffled { peers } => self.swap_in(now, peers),
-            MeshMsg::Beats { beats } => self.out.push(Out::Beats(beats)),
+            GossipMessage::Shuffled { peers } => self.swap_in(now, peers),
+            GossipMessage::Beats { beats } => self.out.push(Out::Beats(beats)),
         }
         std::mem::take(&mut self.out)
     }
@@ -242,7 +242,7 @@
         self.me.life = Life::Left;
         let all: Vec<Name> = self.known.values().map(|k| k.r.addr.clone()).collect();
         for a in all {
-            self.letter(&a, MeshMsg::Ping { seq: NO_PROBE });
+            self.letter(&a, GossipMessage::Ping { seq: NO_PROBE });
         }
         std::mem::take(&mut self.out)
     }
--- a/crates/qh-mesh/src/msgs.rs
+++ b/crates/qh-mesh/src/messages.rs
@@ -20,7 +20,7 @@
         pub life: Life
     }
 
-    pub enum MeshMsg {
+    pub enum GossipMessage {
         Ping { seq: u64 },
         Pong { seq: u64 },
         /// Ask `target` for me; the answer comes back as a `Pong` with my number.
@@ -33,10 +33,10 @@
     }
 
     /// Every message carries its sender and fresh rumors.
-    pub struct Letter { pub from: Rumor, pub rumors: Vec<Rumor>, pub m: MeshMsg }
+    pub struct GossipEnvelope { pub from: Rumor, pub rumors: Vec<Rumor>, pub m: GossipMessage }
 
     /// Questions between nodes that need an answer.
-    pub enum NodeAsk {
+    pub enum NodeQuery {
         Store { ctx: Context },
         Find { id: Name },
         Digests { from: Name, sums: Vec<u64> },
@@ -58,7 +58,7 @@
         }
     }
 
-    pub enum NodeRep {
+    pub enum NodeReply {
         Done,
         Found { ctx: Option<Context> },
         /// Ranges that differ.
@@ -72,7 +72,7 @@
         Acked { end: Position, life: u64 }
     }
 
-    pub enum NodeKnock { Letter { l: Letter }, Ask { ask: NodeAsk } }
+    pub enum NodeRequest { Gossip { message: GossipEnvelope }, Query { query: NodeQuery } }
 
-    pub enum NodeKnocked { Taken, Rep { rep: NodeRep } }
+    pub enum NodeResponse { Taken, Reply { reply: NodeReply } }
 }
--- a/crates/qh-mesh/src/probe.rs
+++ b/crates/qh-mesh/src/probe.rs
@@ -1,6 +1,6 @@
 //! Asking, suspecting, burying, shuffling, and passing beats on: what the mesh does as time passes (§6.2).
 use crate::member::{INDIRECT_WITHIN, Mesh, NO_PROBE, Out, Probe, VIEW};
-use crate::msgs::{Letter, Life, MeshMsg, Rumor};
+use crate::messages::{GossipEnvelope, GossipMessage, Life, Rumor};
 use qh_core::{Beat, Ms, Name};
 
 const PONG_WITHIN: Ms = 250;
@@ -25,7 +25,7 @@
             for s in self.seeds.clone() {
                 self.seq += 1;
                 let seq = self.seq;
-                self.letter(&s, MeshMsg::Ping { seq });
+                self.letter(&s, GossipMessage::Ping { seq });
             }
             return;
         };
@@ -33,14 +33,14 @@
         let seq = self.seq;
         let addr = self.known[&target].r.addr.clone();
         self.probes.insert(seq, Probe { target, until: now + PONG_WITHIN, indirect: false });
-        self.letter(&addr, MeshMsg::Ping { seq });
+        self.letter(&addr, GossipMessage::Ping { seq });
     }
 
     /// An answer counts for the node that was asked, not for another that has its address by now.
     pub(crate) fn pong(&mut self, from: &Rumor, seq: u64) {
         if let Some(relay) = self.relays.get(&seq).filter(|relay| relay.target == from.name).cloned() {
             self.relays.remove(&seq);
-            self.letter(&relay.asker_addr, MeshMsg::Pong { seq: relay.asker_seq });
+            self.letter(&relay.asker_addr, GossipMessage::Pong { seq: relay.asker_seq });
         }
         let Some(probe) = self.probes.get(&seq) else { return };
         // One that was asked through others comes from a helper, elsewhere than the target.
@@ -68,7 +68,7 @@
                 .collect();
             self.rng.shuffle(&mut helpers);
             for h in helpers.into_iter().take(2) {
-                let m = MeshMsg::PingFor { seq, target: p.target.clone(), addr: addr.clone() };
+                let m = GossipMessage::PingFor { seq, target: p.target.clone(), addr: addr.clone() };
                 self.letter(&h, m);
             }
             self.probes.insert(seq, Probe { until: now + INDIRECT_WITHIN, indirect: true, ..p });
@@ -107,7 +107,7 @@
         let to = if self.rng.chance(150) { self.rng.pick(&self.seeds).cloned().or(to) } else { to };
         if let Some(addr) = to {
             let peers = self.half();
-            self.letter(&addr, MeshMsg::Shuffle { peers });
+            self.letter(&addr, GossipMessage::Shuffle { peers });
         }
     }
 
@@ -123,9 +123,10 @@
 
     /// A ping to whom one rumor is told, and that awaits no answer.
     fn ping_with(&mut self, to: &Name, rumor: Rumor) {
-        let m = MeshMsg::Ping { seq: NO_PROBE };
+        let m = GossipMessage::Ping { seq: NO_PROBE };
         self.sent += 1;
-        self.out.push(Out::Send(to.clone(), Letter { from: self.me.clone(), rumors: vec![rumor], m }));
+        self.out
+            .push(Out::Send(to.clone(), GossipEnvelope { from: self.me.clone(), rumors: vec![rumor], m }));
     }
 
     pub(crate) fn pass_beats(&mut self) {
@@ -144,7 +145,7 @@
         let mut view = self.view.clone();
         self.rng.shuffle(&mut view);
         for addr in view.into_iter().take(2).filter_map(|n| self.addr(&n)).collect::<Vec<_>>() {
-            self.letter(&addr, MeshMsg::Beats { beats: beats.clone() });
+            self.letter(&addr, GossipMessage::Beats { beats: beats.clone() });
         }
     }
 }
--- a/crates/qh-mesh/tests/member.rs
+++ b/crates/qh-mesh/tests/member.rs
@@ -2,7 +2,7 @@
 use qh_core::{Ms, Name};
 use qh_mesh::duty::owner;
 use qh_mesh::member::Out;
-use qh_mesh::{Letter, Life, Mesh, Rumor};
+use qh_mesh::{GossipEnvelope, Life, Mesh, Rumor};
 use std::collections::{BTreeMap, BTreeSet};
 
 const TICK: Ms = 50;
@@ -39,7 +39,7 @@
         }
     }
     fn deliver(&mut self, from: &Name, outs: Vec<Out>) {
-        let mut letters: Vec<(Name, Name, Letter)> = letters_of(from, outs);
+        let mut letters: Vec<(Name, Name, GossipEnvelope)> = letters_of(from, outs);
         while let Some((from, to, letter)) = letters.pop() {
             if self.paused.contains(&to) || self.cut.contains(&(from, to.clone())) {
                 continue;
@@ -66,7 +66,7 @@
     }
 }
 
-fn letters_of(from: &Name, outs: Vec<Out>) -> Vec<(Name, Name, Letter)> {
+fn letters_of(from: &Name, outs: Vec<Out>) -> Vec<(Name, Name, GossipEnvelope)> {
     let letter = |o| match o {
         Out::Send(to, letter) => Some((from.clone(), to, letter)),
         _ => None,
--- a/crates/qh-mesh/tests/probes.rs
+++ b/crates/qh-mesh/tests/probes.rs
@@ -1,14 +1,14 @@
 //! An answer to a probe counts for the node that was probed, in this life of the prober (§6.2).
 use qh_core::{Ms, Name};
 use qh_mesh::member::Out;
-use qh_mesh::{Letter, Life, Mesh, MeshMsg, Rumor};
+use qh_mesh::{GossipEnvelope, GossipMessage, Life, Mesh, Rumor};
 
 fn node(name: &str, addr: &str, inc: u64) -> Rumor {
     Rumor { name: name.into(), addr: addr.into(), district: "d".into(), inc, life: Life::Alive }
 }
 
-fn letter(from: &Rumor, m: MeshMsg) -> Letter {
-    Letter { from: from.clone(), rumors: Vec::new(), m }
+fn letter(from: &Rumor, m: GossipMessage) -> GossipEnvelope {
+    GossipEnvelope { from: from.clone(), rumors: Vec::new(), m }
 }
 
 fn life_of(mesh: &Mesh, name: &str) -> Option<Life> {
@@ -19,9 +19,9 @@
 fn answered_by(mesh: &mut Mesh, who: &Rumor, end: Ms) {
     for now in (0..end).step_by(50) {
         for out in mesh.tick(now) {
-            let Out::Send(to, Letter { m: MeshMsg::Ping { seq }, .. }) = out else { continue };
+            let Out::Send(to, GossipEnvelope { m: GossipMessage::Ping { seq }, .. }) = out else { continue };
             if to == who.addr {
-                mesh.take(now, letter(who, MeshMsg::Pong { seq }));
+                mesh.take(now, letter(who, GossipMessage::Pong { seq }));
             }
         }
     }
@@ -31,7 +31,7 @@
 fn another_process_at_a_nodes_address_does_not_answer_for_it() {
     let (old, new) = (node("n2", "there", 1), node("n9", "there", 1));
     let mut mesh = Mesh::new(node("n1", "here", 1), vec![], 7, 0);
-    mesh.take(0, letter(&old, MeshMsg::Ping { seq: 1 }));
+    mesh.take(0, letter(&old, GossipMessage::Ping { seq: 1 }));
     answered_by(&mut mesh, &new, 6_000);
     assert_eq!(life_of(&mesh, "n2"), Some(Life::Dead));
     assert_eq!(life_of(&mesh, "n9"), Some(Life::Alive));
@@ -41,7 +41,7 @@
 fn a_node_that_answers_itself_stays_alive() {
     let peer = node("n2", "there", 1);
     let mut mesh = Mesh::new(node("n1", "here", 1), vec![], 7, 0);
-    mesh.take(0, letter(&peer, MeshMsg::Ping { seq: 1 }));
+    mesh.take(0, letter(&peer, GossipMessage::Ping { seq: 1 }));
     answered_by(&mut mesh, &peer, 6_000);
     assert_eq!(life_of(&mesh, "n2"), Some(Life::Alive));
 }
@@ -51,22 +51,22 @@
 fn a_helper_passes_on_only_the_answer_of_the_node_it_was_to_ask() {
     let (asker, wrong, right) = (node("n2", "asker", 1), node("n9", "there", 1), node("n3", "there", 1));
     let mut helper = Mesh::new(node("n1", "here", 1), vec![], 7, 0);
-    let ask = MeshMsg::PingFor { seq: 5, target: "n3".into(), addr: "there".into() };
+    let ask = GossipMessage::PingFor { seq: 5, target: "n3".into(), addr: "there".into() };
     let outs = helper.take(0, letter(&asker, ask));
     let sent = outs.into_iter().find_map(|out| match out {
-        Out::Send(to, Letter { m: MeshMsg::Ping { seq }, .. }) if to == "there" => Some(seq),
+        Out::Send(to, GossipEnvelope { m: GossipMessage::Ping { seq }, .. }) if to == "there" => Some(seq),
         _ => None,
     });
     let seq = sent.expect("it asks");
     let pongs = |outs: Vec<Out>| -> Vec<(Name, u64)> {
         let pong = |out| match out {
-            Out::Send(to, Letter { m: MeshMsg::Pong { seq }, .. }) => Some((to, seq)),
+            Out::Send(to, GossipEnvelope { m: GossipMessage::Pong { seq }, .. }) => Some((to, seq)),
             _ => None,
         };
         outs.into_iter().filter_map(pong).collect()
     };
-    assert_eq!(pongs(helper.take(1, letter(&wrong, MeshMsg::Pong { seq }))), []);
-    assert_eq!(pongs(helper.take(2, letter(&right, MeshMsg::Pong { seq }))), [("asker".into(), 5)]);
+    assert_eq!(pongs(helper.take(1, letter(&wrong, GossipMessage::Pong { seq }))), []);
+    assert_eq!(pongs(helper.take(2, letter(&right, GossipMessage::Pong { seq }))), [("asker".into(), 5)]);
 }
 
 #[test]
@@ -74,10 +74,10 @@
     let peer = node("n2", "there", 1);
     let probed = |seed: u64| {
         let mut mesh = Mesh::new(node("n1", "here", 1), vec![], seed, 0);
-        mesh.take(0, letter(&peer, MeshMsg::Ping { seq: 1 }));
+        mesh.take(0, letter(&peer, GossipMessage::Ping { seq: 1 }));
         let outs = mesh.tick(300);
         let seq = outs.into_iter().find_map(|out| match out {
-            Out::Send(_, Letter { m: MeshMsg::Ping { seq }, .. }) => Some(seq),
+            Out::Send(_, GossipEnvelope { m: GossipMessage::Ping { seq }, .. }) => Some(seq),
             _ => None,
         });
         seq.expect("it probes")
@@ -90,21 +90,25 @@
 fn a_node_that_comes_back_with_a_lower_incarnation_is_alive_again_at_once() {
     for known in [Life::Dead, Life::Alive] {
         let mut other = Mesh::new(node("n1", "here", 1), vec![], 7, 0);
-        other.take(0, letter(&node("n2", "old", 100), MeshMsg::Ping { seq: 1 }));
+        other.take(0, letter(&node("n2", "old", 100), GossipMessage::Ping { seq: 1 }));
         let rumor = Rumor { life: known, ..node("n2", "old", 100) };
         other.take(
             0,
-            Letter { from: node("n3", "third", 1), rumors: vec![rumor], m: MeshMsg::Pong { seq: 0 } },
+            GossipEnvelope {
+                from: node("n3", "third", 1),
+                rumors: vec![rumor],
+                m: GossipMessage::Pong { seq: 0 },
+            },
         );
         // All that is fresh has been told often enough by now.
         for seq in 0..20 {
-            other.take(0, letter(&node("n3", "third", 1), MeshMsg::Ping { seq }));
+            other.take(0, letter(&node("n3", "third", 1), GossipMessage::Ping { seq }));
         }
         let mut back = Mesh::new(node("n2", "new", 50), vec!["here".into()], 8, 0);
         let mut now = 0;
         for _ in 0..3 {
             now += 300;
-            let mut outs = other.take(now, letter(&back.me, MeshMsg::Ping { seq: 1 }));
+            let mut outs = other.take(now, letter(&back.me, GossipMessage::Ping { seq: 1 }));
             for out in outs.drain(..) {
                 if let Out::Send(to, l) = out
                     && to == "new"
--- a/crates/qhd/src/settled.rs
+++ b/crates/qhd/src/acknowledged.rs
@@ -1,10 +1,10 @@
 //! Up to where every server of a group holds what was acknowledged, and which nodes may have acknowledged more since
 //! (§5.5): what a choice by nodes' word rests on.
 use crate::Fleet;
-use crate::asking::ask;
+use crate::server_queries::ask;
 use qh_core::{Fence, Name, Position, rt};
 use qh_data::port::Call;
-use qh_mesh::{NodeAsk, NodeRep};
+use qh_mesh::{NodeQuery, NodeReply};
 use qh_state::{Reply, Request};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
@@ -41,9 +41,9 @@
     nodes.sort();
     nodes.dedup();
     let mut out = BTreeMap::new();
-    for (n, r) in f.mesh.ask_all(nodes, NodeAsk::Acked { group: g.clone(), fence }).await {
+    for (n, r) in f.mesh.ask_all(nodes, NodeQuery::Acked { group: g.clone(), fence }).await {
         match r {
-            Some(NodeRep::Acked { end, life }) => drop(out.insert(n, (end, life))),
+            Some(NodeReply::Acked { end, life }) => drop(out.insert(n, (end, life))),
             _ => whole = false,
         }
     }
--- a/crates/qhd/src/copies.rs
+++ b/crates/qhd/src/copies.rs
@@ -1,11 +1,11 @@
 //! Sessions' copies over the mesh: placed before they are promised, mended by digests (§6.4).
 use crate::Fleet;
-use crate::meshd::Net;
+use crate::mesh_driver::Net;
 use qh_core::{Code, Error, Name, Version, now};
 use qh_data::node::{Copies, Fut};
 use qh_data::session::Context;
 use qh_mesh::duty::owners;
-use qh_mesh::{NodeAsk, NodeRep};
+use qh_mesh::{NodeQuery, NodeReply};
 use std::sync::Arc;
 
 /// Copies are compared with one other owner by digests over ranges and mended from the newer; copies whose
@@ -17,19 +17,19 @@
     let others: Vec<Name> = live.iter().map(|(n, _)| n.clone()).filter(|n| *n != me).collect();
     let Some(peer) = others.get(fastrand::usize(..others.len().max(1))).cloned() else { return };
     let sums = f.mesh.table.lock().unwrap().sums(&me, &peer, &live);
-    let ask = NodeAsk::Digests { from: me.clone(), sums };
-    let Ok(NodeRep::Differ { ranges }) = f.mesh.ask(&peer, ask).await else { return };
+    let ask = NodeQuery::Digests { from: me.clone(), sums };
+    let Ok(NodeReply::Differ { ranges }) = f.mesh.ask(&peer, ask).await else { return };
     for range in ranges.into_iter().take(4) {
         let have = f.mesh.table.lock().unwrap().in_range(&me, &peer, &live, range);
-        let ask = NodeAsk::Range { from: me.clone(), range, have };
-        let Ok(NodeRep::Mend { newer, want }) = f.mesh.ask(&peer, ask).await else { return };
+        let ask = NodeQuery::Range { from: me.clone(), range, have };
+        let Ok(NodeReply::Mend { newer, want }) = f.mesh.ask(&peer, ask).await else { return };
         for c in newer {
             f.mesh.table.lock().unwrap().put(now(), c);
         }
         for id in want.into_iter().take(256) {
             let ctx = f.mesh.table.lock().unwrap().get(&id);
             if let Some(ctx) = ctx {
-                let _ = f.mesh.ask(&peer, NodeAsk::Store { ctx }).await;
+                let _ = f.mesh.ask(&peer, NodeQuery::Store { ctx }).await;
             }
         }
     }
@@ -41,8 +41,8 @@
     for c in strays {
         let to = owners(&c.id, &live);
         let n = to.len();
-        let got = f.mesh.ask_all(to, NodeAsk::Store { ctx: c.clone() }).await;
-        if n == 3 && got.iter().all(|(_, r)| matches!(r, Some(NodeRep::Done))) {
+        let got = f.mesh.ask_all(to, NodeQuery::Store { ctx: c.clone() }).await;
+        if n == 3 && got.iter().all(|(_, r)| matches!(r, Some(NodeReply::Done))) {
             let mut t = f.mesh.table.lock().unwrap();
             if t.get(&c.id).is_some_and(|h| h.version == c.version) {
                 t.drop_one(&c.id);
@@ -58,8 +58,8 @@
         Box::pin(async move {
             let to = owners(&c.id, &self.0.live());
             let n = to.len();
-            let got = self.0.ask_all(to, NodeAsk::Store { ctx: c }).await;
-            let done = got.iter().filter(|(_, r)| matches!(r, Some(NodeRep::Done))).count();
+            let got = self.0.ask_all(to, NodeQuery::Store { ctx: c }).await;
+            let done = got.iter().filter(|(_, r)| matches!(r, Some(NodeReply::Done))).count();
             // A fleet of fewer than three nodes has fewer owners; a majority of those there are.
             if done * 2 > n {
                 Ok(())
@@ -72,13 +72,13 @@
         Box::pin(async move {
             let live = self.0.live();
             let to = owners(id, &live);
-            let ask = NodeAsk::Find { id: id.into() };
-            let newest = |got: Vec<(Name, Option<NodeRep>)>| {
+            let ask = NodeQuery::Find { id: id.into() };
+            let newest = |got: Vec<(Name, Option<NodeReply>)>| {
                 let answered = got.iter().filter(|(_, r)| r.is_some()).count();
                 let copies: Vec<Context> = got
                     .into_iter()
                     .filter_map(|(_, r)| match r {
-                        Some(NodeRep::Found { ctx }) => ctx,
+                        Some(NodeReply::Found { ctx }) => ctx,
                         _ => None,
                     })
                     .collect();
--- a/crates/qhd/src/dutyd.rs
+++ b/crates/qhd/src/duties.rs
@@ -1,12 +1,12 @@
 //! Duties of this node (§6.3): looks after the leads of the groups that fall to it.
-pub use crate::asked::Asked;
+use crate::commit_lists::{seen, settle_lists};
+pub use crate::duty_state::Asked;
 use crate::group::Group;
-use crate::listd::{seen, settle_lists};
-use crate::{Fleet, groupd, minding, watching};
+use crate::{Fleet, held_duty, held_watch, promoting};
 use qh_control::watch::{Count, Eye, Need, Sight, dead, need, strange, to_count};
 use qh_core::rt;
 use qh_core::{Ms, Name, State, now};
-use qh_mesh::{NodeAsk, NodeRep};
+use qh_mesh::{NodeQuery, NodeReply};
 use qh_state::store::duty_of;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -39,7 +39,7 @@
     loop {
         rt::sleep(Duration::from_millis(if mine || f.ports.is_none() { 100 } else { 250 })).await;
         if f.ports.is_some() {
-            watching::try_again(&f);
+            held_watch::try_again(&f);
         }
         if !f.node.board.has_lease() || f.node.board.is_stopping() {
             continue;
@@ -69,7 +69,7 @@
             }
             match f.ports {
                 None => look(&f, &g, st).await,
-                Some(_) => minding::look(&f, &g, st).await,
+                Some(_) => held_duty::look(&f, &g, st).await,
             }
         }
     }
@@ -82,7 +82,7 @@
         return;
     }
     st.told_at = now();
-    let (f, ask, owner) = (f.clone(), NodeAsk::Suspect { group: g.clone(), server }, owner.clone());
+    let (f, ask, owner) = (f.clone(), NodeQuery::Suspect { group: g.clone(), server }, owner.clone());
     rt::spawn(async move { drop(f.mesh.ask(&owner, ask).await) });
 }
 
@@ -163,7 +163,7 @@
         sync: None,
     };
     st.planned_over = st.over;
-    st.task = Some(rt::spawn(groupd::promote(f.clone(), plan)));
+    st.task = Some(rt::spawn(promoting::promote(f.clone(), plan)));
 }
 
 /// Asks the other nodes what they see of the lead's server: one node that is cut off deposes nobody.
@@ -181,8 +181,8 @@
         others.truncate(WITNESSES);
     }
     let mut c = Count::begin(dead, eye(f, &server), others.len());
-    for (_, r) in f.mesh.ask_all(others, NodeAsk::Sees { server }).await {
-        if let Some(NodeRep::Sees { heard, failing, stalled, answering }) = r {
+    for (_, r) in f.mesh.ask_all(others, NodeQuery::Sees { server }).await {
+        if let Some(NodeReply::Sees { heard, failing, stalled, answering }) = r {
             c.add(dead, Eye { heard, failing, stalled, answering });
         }
     }
--- a/crates/qhd/src/asked.rs
+++ b/crates/qhd/src/duty_state.rs
@@ -13,8 +13,8 @@
     /// Leads that other nodes said stall: since when, and when it was last said.
     pub suspects: Mutex<BTreeMap<Name, (Name, Ms, Ms)>>,
     /// Questions to servers met over held links, and what they said.
-    pub asking: crate::asking::Asking,
-    pub settled: crate::settled::All,
+    pub asking: crate::server_queries::Asking,
+    pub settled: crate::acknowledged::All,
     /// The newest fence that this process took for each group.
     own_fences: Mutex<BTreeMap<Name, Fence>>,
     pub life: Life,
@@ -41,7 +41,8 @@
     }
     /// What was settled is of use only under the same lead, and while this node looks after it all the time.
     pub fn keep_settled(&self, group: &Name, lead: Option<&Lead>) {
-        let of = |s: &crate::settled::Settled| lead.is_some_and(|l| l.server.is_none() || l.fence == s.lead);
+        let of =
+            |s: &crate::acknowledged::Settled| lead.is_some_and(|l| l.server.is_none() || l.fence == s.lead);
         self.settled.lock().unwrap().retain(|g, s| g != group || of(s));
     }
     pub fn note_own_fence(&self, group: &Name, fence: Fence) {
--- a/crates/qhd/src/group.rs
+++ b/crates/qhd/src/group.rs
@@ -26,7 +26,7 @@
     pub task: Option<rt::Task>,
     /// The newest fence at the time of planning that task.
     pub planned_over: Fence,
-    pub minded: crate::watching::Minded,
+    pub minded: crate::held_watch::Minded,
     pub fenced_at: Ms,
     pub told_at: Ms,
 }
--- a/crates/qhd/src/handing.rs
+++ b/crates/qhd/src/handover.rs
@@ -1,9 +1,9 @@
 //! A planned hand-over among servers with sync replicas (§5.5): the old lead serves until the very moment in which the
 //! heir leads, so that nothing is held meanwhile but for the naming.
 use crate::Fleet;
-use crate::asking::{self, ask};
-use crate::synced::follow;
-use crate::taking::{Taken, next_fence};
+use crate::fencing::{Taken, next_fence};
+use crate::held_promotion::follow;
+use crate::server_queries::{self, ask};
 use qh_control::promotion::Plan;
 use qh_core::{Fence, Lead, Ms, Name, Position, Role, now, rt};
 use qh_data::port::{Call, Promoted};
@@ -34,7 +34,7 @@
     let Some(heir) = heir(f, plan, old).await else { return false };
     let others: Vec<Name> = group.holders.iter().filter(|h| **h != heir).cloned().collect();
     let Some(fence) = take_fence(f, plan).await else { return false };
-    let still = rt::all(others.iter().map(|o| asking::stand_still(f, o, &plan.servers))).await;
+    let still = rt::all(others.iter().map(|o| server_queries::stand_still(f, o, &plan.servers))).await;
     let whole = still.iter().all(Option::is_some) && caught_up(f, old, &heir).await;
     rt::point("hand-over: others stand still");
     let done = whole && {
--- a/crates/qhd/src/minding.rs
+++ b/crates/qhd/src/held_duty.rs
@@ -1,9 +1,9 @@
 //! Looks after the lead of one group whose servers are met over held links (§3.6, §5.5): few questions, from one node.
-use crate::dutyd::others_see;
+use crate::duties::others_see;
+use crate::fencing::{Taken, next_fence};
 use crate::group::Group;
-use crate::taking::{Taken, next_fence};
-use crate::watching::{LEAD, mend, watch};
-use crate::{Fleet, groupd, handing, settled};
+use crate::held_watch::{LEAD, mend, watch};
+use crate::{Fleet, acknowledged, handover, promoting};
 use qh_control::promotion::Plan;
 use qh_control::sync::{self, dead, need};
 use qh_control::watch::{Need, Sight};
@@ -167,10 +167,10 @@
     st.planned_over = st.over;
     st.task = Some(rt::spawn(async move {
         let mut plan = plan;
-        if !plan.planned || !handing::over(&f, &plan).await {
+        if !plan.planned || !handover::over(&f, &plan).await {
             // A hand-over that came to no end took a fence, over which this goes on.
             plan.over = plan.over.max(f.duty.own_fence(&plan.group));
-            groupd::promote(f, plan).await;
+            promoting::promote(f, plan).await;
         }
     }));
 }
@@ -187,7 +187,7 @@
     let (f, g, fence, lists) = (f.clone(), g.clone(), lead.fence, !lead.before.is_empty());
     let others = rows.iter().map(|r| r.name.clone()).filter(|n| *n != server).collect::<Vec<_>>();
     st.minded.settling = Some(rt::spawn(async move {
-        if settled::settle(&f, &g, fence, &server, &others).await.is_some() && lists {
+        if acknowledged::settle(&f, &g, fence, &server, &others).await.is_some() && lists {
             let (key, cmd) = (format!("{}/lists/{fence}", duty_of(&g)), Command::Settle { group: g, fence });
             let _ = f.chain.write(&key, cmd, WRITE).await;
         }
--- a/crates/qhd/src/synced.rs
+++ b/crates/qhd/src/held_promotion.rs
@@ -1,6 +1,6 @@
 //! One promotion's questions where servers are met over held links (§3.6, §5.5).
 use crate::Fleet;
-use crate::asking::{self, ask};
+use crate::server_queries::{self, ask};
 use qh_control::promotion::{In, Plan};
 use qh_core::{Fence, Name, Role, now, rt};
 use qh_data::port::{Call, Promoted};
@@ -12,7 +12,9 @@
 const AGAIN: Duration = Duration::from_millis(60);
 
 pub async fn stand_still(f: &Fleet, plan: &Plan, server: Name) -> In {
-    asking::stand_still(f, &server, &plan.servers).await.map_or(In::Tick, |end| In::Fenced(server, end))
+    server_queries::stand_still(f, &server, &plan.servers)
+        .await
+        .map_or(In::Tick, |end| In::Fenced(server, end))
 }
 
 /// Names it to the platform and sees it lead: before that it declines all work.
@@ -60,5 +62,5 @@
 pub async fn acked(f: &Arc<Fleet>, plan: &Plan) -> In {
     let Some(lead) = plan.sync.as_ref().and_then(|s| s.lead) else { return In::Tick };
     // The close that is in force by now is of a higher fence than the lead's.
-    crate::settled::acked(f, &plan.group, lead, lead + 1).await.map_or(In::Tick, In::Acked)
+    crate::acknowledged::acked(f, &plan.group, lead, lead + 1).await.map_or(In::Tick, In::Acked)
 }
--- a/crates/qhd/src/watching.rs
+++ b/crates/qhd/src/held_watch.rs
@@ -1,7 +1,7 @@
 //! Few questions to servers met over held links, from the node that looks after their group (§3.6, §5.5).
-use crate::asking::ask;
 use crate::group::Group;
-use crate::{Fleet, synced};
+use crate::server_queries::ask;
+use crate::{Fleet, held_promotion};
 use qh_control::sync::Mark;
 use qh_core::{Ms, Name, Role, now, rt};
 use qh_data::board::ServerRow;
@@ -97,7 +97,7 @@
             st.minded.odd.remove(&r.name);
         } else if now() >= *st.minded.odd.entry(r.name.clone()).or_insert(now()) + ODD {
             st.minded.odd.remove(&r.name);
-            rt::spawn(synced::follow(f.clone(), r.name.clone(), term.unwrap_or(0)));
+            rt::spawn(held_promotion::follow(f.clone(), r.name.clone(), term.unwrap_or(0)));
         }
     }
 }
--- a/crates/qhd/src/lib.rs
+++ b/crates/qhd/src/lib.rs
@@ -1,24 +1,24 @@
 //! A node put together (§2, §4, §6): what the planes do, driven over whatever runs it (§5.8).
-pub mod asked;
-pub mod asking;
-pub mod chainc;
+pub mod acknowledged;
+pub mod chain_client;
+pub mod commit_lists;
 pub mod copies;
-pub mod desk;
-pub mod dutyd;
+pub mod duties;
+pub mod duty_state;
 pub mod feed;
+mod fencing;
 mod group;
-pub mod groupd;
-pub mod handing;
-pub mod listd;
-pub mod meshd;
-pub mod minding;
+pub mod handover;
+pub mod held_duty;
+pub mod held_promotion;
+pub mod held_watch;
+pub mod lease_roll;
+pub mod mesh_driver;
+pub mod operator_api;
 pub mod ops;
+pub mod promoting;
 pub mod report;
-pub mod rolld;
-pub mod settled;
-pub mod synced;
-mod taking;
-pub mod watching;
+pub mod server_queries;
 
 use qh_core::rt;
 use qh_core::settings::NodeSettings;
@@ -29,10 +29,10 @@
 /// The node with its planes.
 pub struct Fleet {
     pub node: Arc<Node>,
-    pub mesh: Arc<meshd::Net>,
-    pub chain: chainc::Chain,
+    pub mesh: Arc<mesh_driver::Net>,
+    pub chain: chain_client::Chain,
     pub known: std::sync::Mutex<qh_state::FeedState>,
-    pub duty: dutyd::Asked,
+    pub duty: duties::Asked,
     /// The entry that enrolled this process (§5.6), and whether it has left in order.
     pub enrolled: std::sync::atomic::AtomicU64,
     pub left: std::sync::atomic::AtomicBool,
@@ -45,12 +45,12 @@
         Fleet::with(set, None)
     }
     pub fn with(set: &NodeSettings, ports: Option<qh_data::port::Ports>) -> Arc<Fleet> {
-        let mesh = meshd::Net::new(set);
+        let mesh = mesh_driver::Net::new(set);
         let copies = Box::new(copies::MeshCopies(mesh.clone()));
         Arc::new(Fleet {
             node: Node::new(set.clone(), copies, rt::Spawner::here()),
             mesh,
-            chain: chainc::Chain::new(&set.name, &set.keepers),
+            chain: chain_client::Chain::new(&set.name, &set.keepers),
             known: Default::default(),
             duty: Default::default(),
             enrolled: Default::default(),
@@ -61,14 +61,14 @@
     /// Sets all its loops going.
     pub fn go(self: &Arc<Self>) {
         let f = self.clone();
-        rt::spawn(meshd::run(f.clone()));
+        rt::spawn(mesh_driver::run(f.clone()));
         rt::spawn(feed::run(f.clone()));
-        rt::spawn(rolld::run(f.clone()));
+        rt::spawn(lease_roll::run(f.clone()));
         match f.ports {
             None => rt::spawn(qh_data::probe::run(f.node.clone())),
             Some(_) => rt::spawn(qh_data::probe::judge_on(f.node.clone())),
         };
-        rt::spawn(dutyd::run(f.clone()));
+        rt::spawn(duties::run(f.clone()));
         rt::spawn(sweep(f.node.clone()));
     }
 }
--- a/crates/qhd/src/main.rs
+++ b/crates/qhd/src/main.rs
@@ -3,7 +3,7 @@
 
 use qh_core::settings::NodeSettings;
 use qh_core::{Code, Error, now};
-use qhd::{Fleet, desk, meshd, open_txns};
+use qhd::{Fleet, mesh_driver, open_txns, operator_api};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -39,17 +39,17 @@
     let n = node.clone();
     let door: qh_data::door::Answerer = Arc::new(move |k| {
         let n = n.clone();
-        Box::pin(async move { desk::origin(&n, k).await })
+        Box::pin(async move { operator_api::origin(&n, k).await })
     });
     let door = qh_data::door::open(&set.door, set.threads, door, rt)?;
     let f = fleet.clone();
     let at_desk: qh_data::door::Answerer = Arc::new(move |k| {
         let f = f.clone();
-        Box::pin(async move { desk::answer(&f, k).await })
+        Box::pin(async move { operator_api::answer(&f, k).await })
     });
     let desk = qh_data::door::open(&set.desk, 1, at_desk, rt)?;
     log::info!(target: "node", "node {} in {} listens on {}", set.name, set.district, set.door);
-    rt.spawn(meshd::serve(fleet.clone(), lst));
+    rt.spawn(mesh_driver::serve(fleet.clone(), lst));
     fleet.go();
     args::wait_for_stop(&set, &handle).await;
     log::info!(target: "node", "stopping: no new visits are taken");
--- a/crates/qhd/src/meshd.rs
+++ b/crates/qhd/src/mesh_driver.rs
@@ -6,12 +6,12 @@
 use qh_core::{Code, Error, Name, now};
 use qh_mesh::copies::Table;
 use qh_mesh::member::Out;
-use qh_mesh::{Letter, Life, Mesh, NodeAsk, NodeKnock, NodeKnocked, NodeRep, Rumor};
+use qh_mesh::{GossipEnvelope, Life, Mesh, NodeQuery, NodeReply, NodeRequest, NodeResponse, Rumor};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::TcpListener;
 
-const ASK: Duration = Duration::from_millis(700);
+const QUERY_WITHIN: Duration = Duration::from_millis(700);
 const LETTER: Duration = Duration::from_millis(400);
 const LINKS: usize = 512;
 
@@ -43,17 +43,21 @@
     pub fn live(&self) -> Vec<(Name, Name)> {
         self.mesh.lock().unwrap().live()
     }
-    pub async fn ask(&self, node: &str, ask: NodeAsk) -> Result<NodeRep, Error> {
+    pub async fn ask(&self, node: &str, ask: NodeQuery) -> Result<NodeReply, Error> {
         let addr = self.mesh.lock().unwrap().addr(node);
         let addr = addr.ok_or_else(|| Code::Unreachable.because(format_args!("node {node} is not known")))?;
         let to = Destination::process(node, &addr);
-        match self.caller.call(to, &NodeKnock::Ask { ask }, ASK).await? {
-            NodeKnocked::Rep { rep } => Ok(rep),
-            NodeKnocked::Taken => Err(Code::Unreachable.because("an answer that is none")),
+        match self.caller.call(to, &NodeRequest::Query { query: ask }, QUERY_WITHIN).await? {
+            NodeResponse::Reply { reply } => Ok(reply),
+            NodeResponse::Taken => Err(Code::Unreachable.because("an answer that is none")),
         }
     }
     /// The same question to many, side by side; whoever does not answer in time is left out.
-    pub async fn ask_all(self: &Arc<Self>, nodes: Vec<Name>, ask: NodeAsk) -> Vec<(Name, Option<NodeRep>)> {
+    pub async fn ask_all(
+        self: &Arc<Self>,
+        nodes: Vec<Name>,
+        ask: NodeQuery,
+    ) -> Vec<(Name, Option<NodeReply>)> {
         let one = |n: Name| {
             let (net, ask) = (self.clone(), ask.clone());
             async move {
@@ -65,10 +69,10 @@
         out.sort_by(|a, b| a.0.cmp(&b.0));
         out
     }
-    fn send(self: &Arc<Self>, to: Name, l: Letter) {
+    fn send(self: &Arc<Self>, to: Name, l: GossipEnvelope) {
         let net = self.clone();
         rt::spawn(async move {
-            let k = NodeKnock::Letter { l };
+            let k = NodeRequest::Gossip { message: l };
             // Letters go to addresses, as seeds have no name yet; who answers says so within.
             let _ = net.caller.call(Destination::address(&to), &k, LETTER).await;
         });
@@ -106,38 +110,38 @@
 }
 
 /// What another process of the fleet sent, and the answer to it.
-pub fn knock(f: &Arc<Fleet>, k: NodeKnock) -> NodeKnocked {
+pub fn knock(f: &Arc<Fleet>, k: NodeRequest) -> NodeResponse {
     match k {
-        NodeKnock::Letter { l } => {
-            let outs = f.mesh.mesh.lock().unwrap().take(now(), l);
+        NodeRequest::Gossip { message } => {
+            let outs = f.mesh.mesh.lock().unwrap().take(now(), message);
             act(f, outs);
-            NodeKnocked::Taken
+            NodeResponse::Taken
         }
-        NodeKnock::Ask { ask } => NodeKnocked::Rep { rep: asked(f, ask) },
+        NodeRequest::Query { query } => NodeResponse::Reply { reply: answer(f, query) },
     }
 }
 
 /// The same where servers are met over held links: what was not seen of one lately is looked at first (§5.5).
-pub async fn knock_held(f: &Arc<Fleet>, k: NodeKnock) -> NodeKnocked {
-    if let NodeKnock::Ask { ask: NodeAsk::Sees { server } } = &k
+pub async fn knock_held(f: &Arc<Fleet>, k: NodeRequest) -> NodeResponse {
+    if let NodeRequest::Query { query: NodeQuery::Sees { server } } = &k
         && f.ports.is_some()
     {
-        crate::watching::look_again(f, server).await;
+        crate::held_watch::look_again(f, server).await;
     }
     knock(f, k)
 }
 
 /// The answer to a frame of another process; none where it is no frame of this protocol.
 pub async fn respond(f: &Arc<Fleet>, frame: &[u8]) -> Option<Vec<u8>> {
-    wire::respond(&f.mesh.identity, frame, |k: NodeKnock| knock_held(f, k)).await.ok()
+    wire::respond(&f.mesh.identity, frame, |k: NodeRequest| knock_held(f, k)).await.ok()
 }
 
 /// The same where no server is looked at before, so that nothing is waited for.
 pub fn respond_at_once(f: &Arc<Fleet>, frame: &[u8]) -> Option<Vec<u8>> {
     let me = &f.mesh.identity;
-    match wire::receive::<NodeKnock>(me, frame).ok()? {
+    match wire::receive::<NodeRequest>(me, frame).ok()? {
         Received::Request { call, request } => {
-            wire::answer_to::<NodeKnock>(me, call, &knock(f, request)).ok()
+            wire::answer_to::<NodeRequest>(me, call, &knock(f, request)).ok()
         }
         Received::Declined(frame) => Some(frame),
     }
@@ -146,7 +150,7 @@
 /// Answers other processes on the mesh address.
 pub async fn serve(f: Arc<Fleet>, lst: TcpListener) {
     let me = f.mesh.identity.clone();
-    wire::serve(lst, LINKS, me, move |k: NodeKnock| {
+    wire::serve(lst, LINKS, me, move |k: NodeRequest| {
         let f = f.clone();
         async move { knock_held(&f, k).await }
     })
@@ -166,43 +170,43 @@
     }
 }
 
-fn asked(f: &Arc<Fleet>, ask: NodeAsk) -> NodeRep {
+fn answer(f: &Arc<Fleet>, ask: NodeQuery) -> NodeReply {
     let live = f.mesh.live();
     let mut t = f.mesh.table.lock().unwrap();
     match ask {
-        NodeAsk::Store { ctx } => {
+        NodeQuery::Store { ctx } => {
             if t.put(now(), ctx) {
-                NodeRep::Done
+                NodeReply::Done
             } else {
-                NodeRep::Found { ctx: None }
+                NodeReply::Found { ctx: None }
             }
         }
-        NodeAsk::Find { id } => NodeRep::Found { ctx: t.get(&id) },
-        NodeAsk::Digests { from, sums } => {
+        NodeQuery::Find { id } => NodeReply::Found { ctx: t.get(&id) },
+        NodeQuery::Digests { from, sums } => {
             let mine = t.sums(&f.mesh.me, &from, &live);
             let ranges = (0..mine.len()).filter(|i| sums.get(*i) != mine.get(*i)).map(|i| i as u8).collect();
-            NodeRep::Differ { ranges }
+            NodeReply::Differ { ranges }
         }
-        NodeAsk::Range { from, range, have } => {
+        NodeQuery::Range { from, range, have } => {
             let mine = t.in_range(&f.mesh.me, &from, &live, range);
             let (newer, want) = t.compare(&mine, &have);
-            NodeRep::Mend { newer, want }
+            NodeReply::Mend { newer, want }
         }
-        NodeAsk::Sees { server } => {
-            let e = crate::dutyd::eye(f, &server);
-            NodeRep::Sees { heard: e.heard, failing: e.failing, stalled: e.stalled, answering: e.answering }
+        NodeQuery::Sees { server } => {
+            let e = crate::duties::eye(f, &server);
+            NodeReply::Sees { heard: e.heard, failing: e.failing, stalled: e.stalled, answering: e.answering }
         }
-        NodeAsk::Suspect { group, server } => {
+        NodeQuery::Suspect { group, server } => {
             f.duty.suspect(group, server);
-            NodeRep::Done
+            NodeReply::Done
         }
-        NodeAsk::Open { group } => NodeRep::Open { n: f.node.board.works.open(&group) as u64 },
-        NodeAsk::Acked { group, fence } => {
-            NodeRep::Acked { end: f.node.board.tell_acked(&group, fence), life: f.duty.life.0 }
+        NodeQuery::Open { group } => NodeReply::Open { n: f.node.board.works.open(&group) as u64 },
+        NodeQuery::Acked { group, fence } => {
+            NodeReply::Acked { end: f.node.board.tell_acked(&group, fence), life: f.duty.life.0 }
         }
-        NodeAsk::Report { what, key } => {
+        NodeQuery::Report { what, key } => {
             drop(t);
-            NodeRep::Report { json: report::of(f, &what, &key).to_string() }
+            NodeReply::Report { json: report::of(f, &what, &key).to_string() }
         }
     }
 }
--- a/crates/qhd/src/desk.rs
+++ b/crates/qhd/src/operator_api.rs
@@ -1,5 +1,5 @@
 //! What comes to the doors: origins' visits, the platform's question, beats, operators (§4.1, §8).
-use crate::{Fleet, meshd, ops};
+use crate::{Fleet, mesh_driver, ops};
 use qh_core::{Beat, Code, Error};
 use qh_data::Node;
 use qh_data::door::Knock;
@@ -29,7 +29,7 @@
     if k.path == "/beat" {
         let beat = serde_json::from_slice::<Beat>(&k.body).map_err(|e| Code::Malformed.because(e));
         return said(beat.and_then(|b| check_beat(&b).map(|()| b)).map(|b| {
-            let news = meshd::heard_beat(f, b);
+            let news = mesh_driver::heard_beat(f, b);
             json!({"news": news})
         }));
     }
--- a/crates/qhd/src/ops.rs
+++ b/crates/qhd/src/ops.rs
@@ -3,7 +3,7 @@
 use qh_core::blueprint::Blueprint;
 use qh_core::rt;
 use qh_core::{Code, Error, Name};
-use qh_mesh::{NodeAsk, NodeRep};
+use qh_mesh::{NodeQuery, NodeReply};
 use qh_state::{Answer, Command, FeedState, Machine, Reply, Request};
 use serde_json::{Value, json};
 use std::sync::Arc;
@@ -41,14 +41,14 @@
             let live: Vec<Name> = f.mesh.live().into_iter().map(|(n, _)| n).collect();
             let owner = qh_mesh::duty::owner(&qh_state::store::duty_of(&g), &live).cloned();
             let owner = owner.ok_or_else(|| Code::NoMajority.bare())?;
-            f.mesh.ask(&owner, NodeAsk::Report { what: "ask-promote".into(), key }).await?;
+            f.mesh.ask(&owner, NodeQuery::Report { what: "ask-promote".into(), key }).await?;
             Ok(json!({"asked": owner, "group": g}))
         }
         "drain" => {
             let key = if b.get("undo").is_some() { "off" } else { "on" };
-            let ask = NodeAsk::Report { what: "drain".into(), key: key.into() };
+            let ask = NodeQuery::Report { what: "drain".into(), key: key.into() };
             match f.mesh.ask(&txt("name"), ask).await? {
-                NodeRep::Report { json } => Ok(json!({"node": txt("name"),
+                NodeReply::Report { json } => Ok(json!({"node": txt("name"),
                     "answer": serde_json::from_str::<Value>(&json).unwrap_or(Value::Null)})),
                 _ => Err(Code::Unreachable.bare()),
             }
@@ -62,9 +62,9 @@
 async fn fan_out(f: &Arc<Fleet>, what: &str, key: &str) -> Value {
     let mut names: Vec<Name> = f.mesh.mesh.lock().unwrap().rumors().into_iter().map(|r| r.name).collect();
     names.push(f.mesh.me.clone());
-    let got = f.mesh.ask_all(names, NodeAsk::Report { what: what.into(), key: key.into() }).await;
+    let got = f.mesh.ask_all(names, NodeQuery::Report { what: what.into(), key: key.into() }).await;
     let rows = got.into_iter().map(|(n, r)| match r {
-        Some(NodeRep::Report { json }) => {
+        Some(NodeReply::Report { json }) => {
             let v: Value = serde_json::from_str(&json).unwrap_or(Value::Null);
             json!({"node": n, "answer": v})
         }
--- a/crates/qhd/src/groupd.rs
+++ b/crates/qhd/src/promoting.rs
@@ -1,12 +1,12 @@
 //! Drives one promotion's steps against chain, servers and platform (§5.5).
-use crate::taking::{Taken, next_fence};
-use crate::{Fleet, synced};
+use crate::fencing::{Taken, next_fence};
+use crate::{Fleet, held_promotion};
 use qh_control::promotion::{In, Out, Plan, Promotion};
 use qh_core::http::post;
 use qh_core::rt;
 use qh_core::{Code, Fence, Name, now};
 use qh_data::platform::{self, Promoted};
-use qh_mesh::{NodeAsk, NodeRep};
+use qh_mesh::{NodeQuery, NodeReply};
 use qh_state::store::duty_of;
 use qh_state::{Answer, Command, Leadership};
 use std::collections::BTreeSet;
@@ -70,18 +70,20 @@
 async fn one(f: &Arc<Fleet>, plan: &Plan, o: Out) -> In {
     match o {
         // Servers met over held links are asked in other ways (§3.6).
-        Out::FenceServer { server, .. } if f.ports.is_some() => synced::stand_still(f, plan, server).await,
+        Out::FenceServer { server, .. } if f.ports.is_some() => {
+            held_promotion::stand_still(f, plan, server).await
+        }
         // Whoever took a higher fence names another: a call of this one would only stir the group up.
         Out::Promote { fence, .. } if f.known.lock().unwrap().fence(&duty_of(&plan.group)) > fence => {
             In::Overtaken
         }
         Out::Promote { server, fence, .. } if f.ports.is_some() => {
-            synced::promote_one(f, plan, server, fence).await
+            held_promotion::promote_one(f, plan, server, fence).await
         }
         Out::CountOpen if f.ports.is_some() => {
-            synced::drained(f, plan, count_open(f, &plan.group).await).await
+            held_promotion::drained(f, plan, count_open(f, &plan.group).await).await
         }
-        Out::AskAcked => synced::acked(f, plan).await,
+        Out::AskAcked => held_promotion::acked(f, plan).await,
         Out::TakeFence { key } => {
             let over = Leadership { fence: plan.over, lead: plan.lead.clone() };
             match next_fence(f, &key, &plan.group, &plan.by, over, WRITE).await {
@@ -112,8 +114,8 @@
 /// Nodes that do not answer may have work under way; the drain's own bound ends the wait for them.
 async fn count_open(f: &Fleet, group: &Name) -> In {
     let live = f.mesh.live().into_iter().map(|(n, _)| n).collect();
-    let got = f.mesh.ask_all(live, NodeAsk::Open { group: group.clone() }).await;
-    let none = got.iter().all(|(_, r)| matches!(r, Some(NodeRep::Open { n: 0 })));
+    let got = f.mesh.ask_all(live, NodeQuery::Open { group: group.clone() }).await;
+    let none = got.iter().all(|(_, r)| matches!(r, Some(NodeReply::Open { n: 0 })));
     if none { In::Drained } else { In::Tick }
 }
 
--- a/crates/qhd/tests/calls.rs
+++ b/crates/qhd/tests/calls.rs
@@ -2,7 +2,7 @@
 use qh_core::wire::{Identity, Incoming, RequestHeader, answer_to, read_frame, write_frame};
 use qh_core::{Code, End, Error, Name};
 use qh_state::{KeeperRequest, KeeperResponse, KeeperStatus, Machine, Reply, Request, View};
-use qhd::chainc::Chain;
+use qhd::chain_client::Chain;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
--- a/crates/qhd/tests/frozen_reader.rs
+++ b/crates/qhd/tests/frozen_reader.rs
@@ -2,7 +2,7 @@
 use qh_core::Code;
 use qh_core::wire::{Identity, serve};
 use qh_state::{Adopted, KeeperRequest, KeeperResponse, Reply};
-use qhd::chainc::Chain;
+use qhd::chain_client::Chain;
 use std::sync::mpsc;
 use std::time::Duration;
 
