--- a/crates/qh-data/tests/fake/mod.rs
+++ b/crates/qh-data/tests/fake/mod.rs
@@ -26,6 +26,7 @@
     /// It runs and nobody says so.
     Silent,
     /// None: it runs and is answered.
+    #[allow(dead_code, reason = "not each test file that has this module draws it")]
     Run,
 }
 
@@ -45,7 +46,6 @@
     /// Writes that were committed, at whichever server leads.
     pub kept: Vec<String>,
 }
-
 #[derive(Clone, Default)]
 pub struct Group(pub Arc<Mutex<Db>>);
 
@@ -57,7 +57,6 @@
     open: bool,
     wrote: Vec<String>,
     dead: bool,
-    /// A call on it was not answered: nothing more may be asked here.
     owes: bool,
 }
 
--- a/crates/qh-state/src/repair.rs
+++ b/crates/qh-state/src/repair.rs
@@ -6,7 +6,9 @@
 
 impl Keeper {
     pub(crate) fn propose(&mut self, want: View) {
-        if self.proposer.busy(self.now, PROPOSE_GAP) {
+        // The others have no address of a member that does not vote.
+        let all_vote = want.members.iter().all(|member| want.is_voter(member));
+        if !all_vote || self.proposer.busy(self.now, PROPOSE_GAP) {
             return;
         }
         self.proposed = self.now;
