--- a/crates/qh-core/src/wire/call.rs
+++ b/crates/qh-core/src/wire/call.rs
@@ -12,7 +12,7 @@
     Number,
     /// A fence, which only rises.
     Fence,
-    /// The edition of a session's copy: an older one alters nothing.
+    /// The version of a session's copy: an older one alters nothing.
     SessionEdition,
     /// The incarnation of a mesh member and the number of a probe.
     Incarnation,
--- a/crates/qh-state/tests/news.rs
+++ b/crates/qh-state/tests/news.rs
@@ -107,7 +107,7 @@
         // Declined: under a fence that was never taken out, and older than what is there.
         Command::SetLead { group: "g".into(), lead: lead(0) },
         adopt(2, blueprint(5, 100)),
-        // A stranger at a known address takes it over.
+        // Another server at a known address takes it over.
         stand("s3", "10.0.0.1:1", 1),
         adopt(4, blueprint(30, 200)),
         Command::DeregisterServer { server: "s2".into() },
