The check of racing pushes knows of one that was taken and never answered

Cause: (N11, of two pushes at once on version 8 none won): a third push on version 8, under way in a cut, took version 9 and was never answered; both of the race were then declined as stale, as they must be. The check knew only of versions that were acknowledged to somebody, so it was wrong there.

Change: a race without a winner is also in order if a valid push outside it on the same version was never answered and a later push was built on the next version. Both conditions are looked at, and a push that was answered is no excuse.

--- a/crates/qh-lab/src/history/pushed.rs
+++ b/crates/qh-lab/src/history/pushed.rs
@@ -1,5 +1,5 @@
 //! Pushes against what their operators were told (§1 N11).
-use super::{History, PUSHED, PushEnd};
+use super::{History, PUSHED, PushEnd, PushTry};
 use qh_core::Code;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -39,9 +39,18 @@
         let bound = h.push_tries.iter().filter(|t| t.race == Some(r)).all(|t| t.bound);
         let base = h.push_tries.iter().find(|t| t.race == Some(r)).map_or(0, |t| t.base);
         // Nobody may win only if another's version came between.
-        let beaten = h.pushes.iter().any(|p| p.version == base + 1);
+        let beaten = h.pushes.iter().any(|p| p.version == base + 1) || taken_unanswered(h, base, r);
         if winners > 1 || (winners == 0 && bound && !beaten) {
             bad.push(format!("N11 of {} pushes at once on version {base}, {winners} won", keys.len()));
         }
     }
 }
+
+/// A push outside the race that was never answered took the version after `base`: a later push builds on it, and nobody
+/// was told that it is his.
+fn taken_unanswered(h: &History, base: u64, race: u64) -> bool {
+    let unanswered = |t: &PushTry| t.ends.iter().all(|(end, _)| *end == PushEnd::None);
+    let rival = |t: &&PushTry| t.race != Some(race) && t.base == base && t.valid && unanswered(t);
+    let built_upon = h.push_tries.iter().any(|t| t.base == base + 1);
+    built_upon && h.push_tries.iter().any(|t| rival(&t))
+}
--- a/crates/qh-lab/tests/history.rs
+++ b/crates/qh-lab/tests/history.rs
@@ -176,6 +176,21 @@
     fine(|r| end(r, 0, PushEnd::Version(2)));
 }
 
+/// Neither of two pushes wins where a third one, never answered, came before them: drawn seed 9000722. It must have been
+/// built upon, and one that was answered is no excuse.
+#[test]
+fn two_pushes_may_lose_to_one_that_was_never_answered() {
+    let lose = |r: &mut Run, rival: PushEnd, later: u64| {
+        r.0.pushes.clear();
+        r.0.push_tries[0].ends[0].0 = PushEnd::Declined(1602);
+        r.0.push_tries.push(PushTry { bound: false, ..push("r", None, true, rival) });
+        r.0.push_tries.push(PushTry { base: later, ..push("s", None, true, PushEnd::Version(later + 1)) });
+    };
+    fine(|r| lose(r, PushEnd::None, 2));
+    breach("N11 of 2", |r| lose(r, PushEnd::None, 3));
+    breach("N11 of 2", |r| lose(r, PushEnd::Declined(1602), 2));
+}
+
 #[test]
 fn service_that_is_not_back_or_does_not_stay() {
     let spoil = |kind: &'static str, from: u64, to: u64, every: u64| {
