qhlab: failed seeds are printed, and a run is judged, in one place

Cause: the control simulator brought a third copy of the loop that prints failed seeds and of the verdict on a run. Change: breaches.rs holds both.

--- a/crates/qhlab/src/main.rs
+++ b/crates/qhlab/src/main.rs
@@ -2,6 +2,7 @@
 mod args;
 mod bench;
 mod bench_fleet;
+mod breaches;
 mod capacity;
 mod simulate;
 mod simulate_control;
--- a/crates/qhlab/src/simulate.rs
+++ b/crates/qhlab/src/simulate.rs
@@ -1,9 +1,13 @@
 //! `qhlab sim`: many seeds, side by side (§9.1).
 use crate::args::Sim;
+use crate::breaches;
 use qh_lab::sim;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
+/// Breaches of one seed that are printed at most.
+pub const REPORTED: usize = 8;
+
 /// Runs every seed by `one`; what they came to, and how many threads were lost on the way.
 pub fn each<R: Send + 'static>(
     s: &Sim,
@@ -53,10 +57,7 @@
     let (mut all, lost) = each(s, 8, one);
     all.sort_by_key(|r| r.seed);
     let sum = |f: &dyn Fn(&sim::Report) -> usize| all.iter().map(f).sum::<usize>();
-    for r in all.iter().filter(|r| !r.breaches.is_empty()) {
-        println!("seed {}: {} breaches", r.seed, r.breaches.len());
-        r.breaches.iter().take(8).for_each(|b| println!("  BREACH {b}"));
-    }
+    let failed = breaches::report(all.iter().map(|r| (r.seed, r.breaches.as_slice())), REPORTED);
     let worst = all.iter().map(|r| r.back_ms).max().unwrap_or(0);
     println!(
         "{} seeds: {} tries, {} kept, {} reads, {} pushes, {} promotions, {} messages, slowest back {} ms, trace {:016x}",
@@ -70,10 +71,5 @@
         worst,
         all.iter().fold(0u64, |a, r| a.rotate_left(7) ^ r.trace)
     );
-    let bad = all.iter().filter(|r| !r.breaches.is_empty()).count();
-    if bad == 0 && lost == 0 {
-        Ok(())
-    } else {
-        Err(format!("{bad} seeds with breaches, {lost} threads lost"))
-    }
+    breaches::verdict(failed, lost)
 }
--- a/crates/qhlab/src/simulate_control.rs
+++ b/crates/qhlab/src/simulate_control.rs
@@ -1,5 +1,6 @@
 //! `qhlab sim --control`: many seeds of the simulated control plane (§9.8).
 use crate::args::Sim;
+use crate::breaches;
 use crate::simulate::each;
 use qh_lab::control_sim::{ControlSim, Report, run as run_one};
 
@@ -13,17 +14,9 @@
 pub fn run(s: &Sim) -> Result<(), String> {
     let (mut reports, lost) = each(s, THREADS, one);
     reports.sort_by_key(|report| report.seed);
-    let failed: Vec<&Report> = reports.iter().filter(|report| !report.breaches.is_empty()).collect();
-    for report in &failed {
-        println!("seed {}: {} breaches", report.seed, report.breaches.len());
-        report.breaches.iter().take(REPORTED).for_each(|breach| println!("  BREACH {breach}"));
-    }
+    let failed = breaches::report(reports.iter().map(|r| (r.seed, r.breaches.as_slice())), REPORTED);
     summary(&reports);
-    if failed.is_empty() && lost == 0 {
-        Ok(())
-    } else {
-        Err(format!("{} seeds with breaches, {lost} threads lost", failed.len()))
-    }
+    breaches::verdict(failed, lost)
 }
 
 fn summary(reports: &[Report]) {
--- a/crates/qhlab/src/simulate_held.rs
+++ b/crates/qhlab/src/simulate_held.rs
@@ -1,6 +1,7 @@
 //! `qhlab sim --held`: many seeds of fleets whose servers are met over held links (§9.1).
 use crate::args::Sim;
-use crate::simulate::each;
+use crate::breaches;
+use crate::simulate::{REPORTED, each};
 use qh_lab::sim::held::{HeldReport, HeldSim, run as run_one};
 
 fn one(s: &Sim, seed: u64) -> HeldReport {
@@ -11,10 +12,7 @@
 pub fn run(s: &Sim) -> Result<(), String> {
     let (mut all, lost) = each(s, 4, one);
     all.sort_by_key(|r| r.seed);
-    for r in all.iter().filter(|r| !r.breaches.is_empty()) {
-        println!("seed {}: {} breaches", r.seed, r.breaches.len());
-        r.breaches.iter().take(8).for_each(|b| println!("  BREACH {b}"));
-    }
+    let failed = breaches::report(all.iter().map(|r| (r.seed, r.breaches.as_slice())), REPORTED);
     if s.seeds == 1 {
         all.iter().flat_map(|r| &r.story).for_each(|w| println!("  {w}"));
     }
@@ -31,10 +29,5 @@
         all.iter().map(|r| r.back_ms).max().unwrap_or(0),
         all.iter().fold(0u64, |a, r| a.rotate_left(7) ^ r.trace)
     );
-    let bad = all.iter().filter(|r| !r.breaches.is_empty()).count();
-    if bad == 0 && lost == 0 {
-        Ok(())
-    } else {
-        Err(format!("{bad} seeds with breaches, {lost} threads lost"))
-    }
+    breaches::verdict(failed, lost)
 }
