The store knows who has the log of a server that left, and which heartbeats come late

A node that was restarted after the primary left in order had never heard of it, so the assigned server was neither failing nor draining, and nothing was done. And who had the log of a departed voter stood in nodes' memory alone: after a restart the departed name counted as a server that may hold acknowledged commits and can never be asked. Found on the way: a heartbeat that comes seconds late brought a deregistered server back, and took its successor's address from it.

Change: Store::departures (16 a group, at the end of the stored layout; older data is read). A server that left in order passes its place among the voters on to the next one at its address, also in assignments planned before; one that joined after the assignment and left counts until its successor is known. A heartbeat within 64 of the last one of a departed server changes nothing. Feed event VotersChanged. An assigned server that is registered no more is replaced.

Conclusion: nothing that a promotion rests on is in one process's memory alone any more, but the 60 s window of departed_servers for servers that another has pushed out of their address.

--- a/crates/failover/src/direct.rs
+++ b/crates/failover/src/direct.rs
@@ -35,7 +35,8 @@
     if lasts_at_least(observation.not_primary_for, NOT_PRIMARY_LIMIT) {
         return PromotionNeed::Now { planned: false };
     }
-    if has_successor && (observation.draining || observation.handover_requested) {
+    let is_leaving = observation.draining || observation.unregistered;
+    if has_successor && (is_leaving || observation.handover_requested) {
         return PromotionNeed::Now { planned: true };
     }
     PromotionNeed::Nothing
--- a/crates/failover/src/observation.rs
+++ b/crates/failover/src/observation.rs
@@ -28,6 +28,8 @@
     pub not_primary_for: Option<Millis>,
     /// The primary is draining.
     pub draining: bool,
+    /// The assigned server is not registered any more: it left in order, or another has its address.
+    pub unregistered: bool,
     /// For how long the servers that run have differed from those that vote.
     pub membership_changed_for: Option<Millis>,
     /// An operator asked for a handover.
--- a/crates/failover/tests/direct_need.rs
+++ b/crates/failover/tests/direct_need.rs
@@ -22,6 +22,10 @@
     let draining = GroupObservation { draining: true, ..healthy.clone() };
     assert_eq!(promotion_need(&draining, true), PromotionNeed::Now { planned: true });
     assert_eq!(promotion_need(&draining, false), PromotionNeed::Nothing);
+    // A node that began after the primary left knows nothing of it but that nobody is registered under its name.
+    let unregistered = GroupObservation { unregistered: true, ..healthy.clone() };
+    assert_eq!(promotion_need(&unregistered, true), PromotionNeed::Now { planned: true });
+    assert_eq!(promotion_need(&unregistered, false), PromotionNeed::Nothing);
     let closed = GroupObservation {
         primary: Some(PrimaryAssignment::default()),
         primary_unchanged_for: 3_999,
--- a/crates/node/src/promotion/direct/holders.rs
+++ b/crates/node/src/promotion/direct/holders.rs
@@ -1,6 +1,6 @@
 //! Which servers may hold commits that a group acknowledged.
 use crate::node::Node;
-use quincehatch_core::{Millis, Name, PrimaryAssignment, ServerState};
+use quincehatch_core::{Millis, Name, PrimaryAssignment};
 use quincehatch_proxy::registry::ServerEntry;
 use quincehatch_runtime::now;
 use std::sync::Arc;
@@ -45,8 +45,8 @@
 }
 
 /// Servers beside the old primary that may hold what was acknowledged: all that are known, and those that voted when the
-/// primary was assigned, unless one reported that it drains and its log went to a new server at its address. One that
-/// an unlisted server pushed out of its address reported nothing, and took its log with it.
+/// primary was assigned. The store puts successors in the places of voters that left in order; a voter that was pushed
+/// out of its address reported nothing, and took its log with it.
 pub(super) fn holders(
     node: &Node,
     group: &Name,
@@ -56,7 +56,7 @@
     let known = servers.iter().map(|server| server.name.clone());
     let mut holders: Vec<Name> = known.chain(departed_servers(node, group, servers)).collect();
     for voter in primary.map_or(&[][..], |assignment| &assignment.voters) {
-        if !holders.contains(voter) && !passed_log_on(node, voter, servers) {
+        if !holders.contains(voter) {
             holders.push(voter.clone());
         }
     }
@@ -64,9 +64,3 @@
     holders.retain(|name| Some(name) != old_primary.as_ref());
     holders
 }
-
-fn passed_log_on(node: &Node, voter: &Name, servers: &[Arc<ServerEntry>]) -> bool {
-    let Some(entry) = node.proxy.registry.server(voter) else { return false };
-    let is_draining = entry.heartbeat.read().unwrap().state == ServerState::Draining;
-    is_draining && servers.iter().any(|other| other.name != entry.name && other.addr() == entry.addr())
-}
--- a/crates/node/src/promotion/direct/tending.rs
+++ b/crates/node/src/promotion/direct/tending.rs
@@ -66,8 +66,10 @@
     if left_by_this_node {
         observation.primary_unchanged_for = observation.primary_unchanged_for.max(STUCK_AFTER);
     }
-    let primary = state.primary_server().and_then(|name| node.proxy.registry.server(&name));
-    let Some(primary) = primary else { return observation };
+    let Some(name) = state.primary_server() else { return observation };
+    observation.unregistered = !node.feed_state.lock().unwrap().servers.contains_key(&name);
+    // A node that began after the server left has never heard of it.
+    let Some(primary) = node.proxy.registry.server(&name) else { return observation };
     observe_primary(node, group, &primary, &mut observation);
     let sample = node.promotion_state.server_statuses.latest_since(&primary.name, state.primary_since);
     let denies = sample.is_some_and(|sample| sample.status.role != Role::Primary);
--- a/crates/store/src/feed/entry_events.rs
+++ b/crates/store/src/feed/entry_events.rs
@@ -2,7 +2,8 @@
 use crate::command::{Answer, Command, Entry};
 use crate::feed::{FeedEvent, Patch};
 use crate::store::{Store, promotion_duty_key};
-use quincehatch_core::Name;
+use quincehatch_core::{Name, PrimaryAssignment, ServerRecord};
+use std::collections::BTreeMap;
 
 /// An entry that was applied.
 pub struct AppliedEntry {
@@ -19,6 +20,7 @@
         let old_json =
             if entry.command.is_document() { self.configuration_json().to_owned() } else { String::new() };
         let old_version = self.configuration_version();
+        let old_primaries = self.primaries_touched_by(&entry.command);
         let answer = self.apply(entry)?;
         let event = if matches!(answer, Answer::Rejected(_)) {
             FeedEvent::Other
@@ -26,7 +28,7 @@
             let patch = Patch::between(&old_json, self.configuration_json());
             FeedEvent::Configuration { version: self.configuration_version(), patch }
         } else {
-            self.event_of(&entry.command)
+            self.with_changed_voters(self.event_of(&entry.command), old_primaries)
         };
         Some(AppliedEntry { answer, event })
     }
@@ -56,6 +58,42 @@
         }
     }
 
+    /// The assignments that a change of servers may touch: those of the groups of a server that comes or goes, and of
+    /// the servers that lose their address to it.
+    fn primaries_touched_by(&self, command: &Command) -> BTreeMap<Name, PrimaryAssignment> {
+        let is_touched = |known: &&ServerRecord| match command {
+            Command::RegisterServer { at: record } => known.addr == record.addr,
+            Command::DeregisterServer { server } => known.server == *server,
+            _ => false,
+        };
+        let mut groups: Vec<&Name> = match command {
+            Command::RegisterServer { at: record } => vec![&record.group],
+            _ => Vec::new(),
+        };
+        groups.extend(self.servers.values().filter(is_touched).map(|known| &known.group));
+        let primaries = groups.into_iter().filter_map(|group| self.primaries.get_key_value(group));
+        primaries.map(|(group, primary)| (group.clone(), primary.clone())).collect()
+    }
+
+    /// What a change of servers means where it changed assignments too; `before`: these as they were.
+    fn with_changed_voters(&self, event: FeedEvent, before: BTreeMap<Name, PrimaryAssignment>) -> FeedEvent {
+        let mut primaries = BTreeMap::new();
+        for (group, earlier) in before {
+            if let Some(primary) = self.primaries.get(&group).filter(|primary| **primary != earlier) {
+                primaries.insert(group, primary.clone());
+            }
+        }
+        match event {
+            FeedEvent::RegisterServer { record } if !primaries.is_empty() => {
+                FeedEvent::VotersChanged { registered: Some(record), removed: None, primaries }
+            }
+            FeedEvent::DeregisterServer { server } if !primaries.is_empty() => {
+                FeedEvent::VotersChanged { registered: None, removed: Some(server), primaries }
+            }
+            unchanged => unchanged,
+        }
+    }
+
     /// The assignment as it holds now: the store itself adds to its voter sets, and drops them.
     fn primary_event(&self, group: &Name) -> FeedEvent {
         match self.primaries.get(group) {
--- a/crates/store/src/feed/event.rs
+++ b/crates/store/src/feed/event.rs
@@ -3,6 +3,7 @@
 use quincehatch_core::{
     ChangeNumber, FencingToken, Name, PrimaryAssignment, ServerRecord, Version, messages,
 };
+use std::collections::BTreeMap;
 
 messages! {
     /// What one log entry changed for nodes. On the wire each variant is known by its place: new ones come last.
@@ -47,6 +48,15 @@
             node: Name,
             /// The entry that enrolled its process; `None` once it is dismissed.
             enrolled: Option<ChangeNumber>
+        },
+        /// A server was registered or removed, and voters changed with it.
+        VotersChanged {
+            /// The server that was registered.
+            registered: Option<ServerRecord>,
+            /// Name of the server that was removed.
+            removed: Option<Name>,
+            /// The assignments that changed, as they hold now, by group.
+            primaries: BTreeMap<Name, PrimaryAssignment>
         }
     }
 
--- a/crates/store/src/feed/state.rs
+++ b/crates/store/src/feed/state.rs
@@ -97,6 +97,15 @@
                 self.configuration_json = json;
             }
             FeedEvent::RegisterServer { record } => upsert_server(&mut self.servers, record),
+            FeedEvent::VotersChanged { registered, removed, primaries } => {
+                if let Some(server) = removed {
+                    self.servers.remove(server);
+                }
+                if let Some(record) = registered {
+                    upsert_server(&mut self.servers, record);
+                }
+                self.primaries.extend(primaries.clone());
+            }
             FeedEvent::DeregisterServer { server } => {
                 self.servers.remove(server);
             }
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -2,11 +2,13 @@
 //! to the same store, so nothing here depends on clocks, on chance or on the machine.
 
 mod commands;
+mod departures;
 mod documents;
 mod history;
 mod primaries;
 mod servers;
 
+pub use departures::{Departure, MAX_DEPARTURES};
 pub use documents::{
     DocumentOutcome, DocumentRegister, MAX_REMEMBERED_DOCUMENTS, TakenNumber, document_digest,
 };
@@ -66,7 +68,10 @@
         /// Nodes that may hold a lease, and the entry that enrolled the process of each.
         pub nodes: BTreeMap<Name, ChangeNumber>,
         /// Which document of the operator took which number.
-        pub documents: DocumentRegister
+        pub documents: DocumentRegister,
+        /// Servers of each group that are recorded no more, oldest first.
+        #[borsh(deserialize_with = "departures::read_departures")]
+        pub departures: BTreeMap<Name, VecDeque<Departure>>
     }
 
     /// A document of the operator.
--- a/crates/store/src/store/commands.rs
+++ b/crates/store/src/store/commands.rs
@@ -10,7 +10,8 @@
     pub fn no_op_answer(&self, command: &Command) -> Option<RecordedAnswer> {
         let changes_nothing = match command {
             Command::RegisterServer { at: record } => {
-                self.servers.get(&record.server).is_some_and(|known| changes_nothing(known, record))
+                let known = self.servers.get(&record.server);
+                known.map_or_else(|| self.is_late(record), |known| changes_nothing(known, record))
             }
             Command::DeregisterServer { server } => !self.servers.contains_key(server),
             Command::AdoptDocument { number, source, .. } => {
@@ -40,7 +41,7 @@
             }
             Command::RegisterServer { at: record } => self.register_server(record),
             Command::DeregisterServer { server } => {
-                self.servers.remove(server);
+                self.deregister_server(server);
                 Answer::Done
             }
             Command::EnrollNode { node, .. } => {
@@ -88,11 +89,14 @@
         outcome.answer(self.configuration_version())
     }
 
-    /// Records a server, unless a newer heartbeat of it is recorded already.
+    /// Records a server, unless a newer heartbeat of it is recorded already or it left since.
     fn register_server(&mut self, record: &ServerRecord) -> Answer {
-        let is_newer = self.servers.get(&record.server).is_none_or(|known| known.seq < record.seq);
+        let known = self.servers.get(&record.server);
+        let is_newer = known.map_or_else(|| !self.is_late(record), |known| known.seq < record.seq);
         if is_newer {
+            self.remember_pushed_out(record);
             upsert_server(&mut self.servers, record);
+            self.settle_succession(record);
         }
         Answer::Done
     }
--- a/crates/store/src/store/primaries.rs
+++ b/crates/store/src/store/primaries.rs
@@ -22,7 +22,9 @@
         if let Err(error) = self.check_assignment(group, primary) {
             return Answer::Rejected(error);
         }
-        let primary = with_earlier_voters(self.primaries.get(group), primary);
+        let mut primary = with_earlier_voters(self.primaries.get(group), primary);
+        // A promotion was planned before its servers departed, perhaps.
+        self.rename_departed(group, &mut primary);
         self.primaries.insert(group.clone(), primary.clone());
         Answer::Primary(primary)
     }
