A write to the store is sent again after 2 s without an answer

The close's answer was lost in a one-way cut; the head was the same after it, so the client waited for that one answer until its own 8 s were over. A head that loses power and is back at once gives the same picture with real sockets. Change: one attempt lasts 2 s (9 s before). The same key joins the write that waits.

--- a/crates/node/src/store_client/write.rs
+++ b/crates/node/src/store_client/write.rs
@@ -5,8 +5,9 @@
 use quincehatch_store::{Answer, Command, Reply, Request};
 use std::time::Duration;
 
-/// One attempt waits for an answer for at most this long, in milliseconds.
-const MAX_ATTEMPT_MS: u64 = 9_000;
+/// One attempt waits for an answer for at most this long, in milliseconds: an answer that was lost on its way, or with
+/// the connection of a head that lost power, never comes. A write that is sent again joins the one that waits.
+const MAX_ATTEMPT_MS: u64 = 2_000;
 /// How often a write that waits checks whether another keeper is the head by now.
 const HEAD_CHECK_INTERVAL: Duration = Duration::from_millis(600);
 
