A replica that is busy when it is to be resumed is asked again

It asked once; they stayed suspended for 2.5 s, nothing could be acknowledged, and the new primary was replaced as cut off. Change: restore_role asks up to 10 times, 100 ms apart.

--- a/crates/node/src/promotion/direct/repair.rs
+++ b/crates/node/src/promotion/direct/repair.rs
@@ -7,10 +7,14 @@
 use quincehatch_proxy::registry::ServerEntry;
 use quincehatch_runtime::{now, seam};
 use std::sync::Arc;
+use std::time::Duration;
 
 /// A server is told once it has been out of date for this long: not at once, as whoever suspended it may be about to
 /// choose among the suspended.
 const REPAIR_DELAY: Millis = 5_000;
+/// Attempts to restore a server's role, and the pause after each that was not answered.
+const RESTORE_ATTEMPTS: u32 = 10;
+const RESTORE_PAUSE: Duration = Duration::from_millis(100);
 
 /// Tells an old primary of a lower term that came back, and replicas that someone left suspended.
 pub(super) fn repair_stale_servers(node: &Arc<Node>, servers: &[Arc<ServerEntry>], state: &mut GroupState) {
@@ -44,9 +48,19 @@
     }
 }
 
-/// Resumes a replica that is suspended, and demotes a primary of a lower term than `term`.
+/// Resumes a replica that is suspended, and demotes a primary of a lower term than `term`. A server that does not answer
+/// is asked again for a while: one whose log was truncated by the promotion is busy for a moment, and until it is resumed
+/// the new primary may have no replica that receives.
 pub(super) async fn restore_role(node: Arc<Node>, server: Name, term: u64) {
-    let Some(status) = query_status(&node, &server).await else { return };
+    for _ in 0..RESTORE_ATTEMPTS {
+        if let Some(status) = query_status(&node, &server).await {
+            return restore_from(&node, &server, status, term).await;
+        }
+        seam::sleep(RESTORE_PAUSE).await;
+    }
+}
+
+async fn restore_from(node: &Node, server: &Name, status: ServerStatus, term: u64) {
     let request = match status.role {
         Role::Primary if status.term < term => ServerCall::Demote { term },
         Role::Replica if status.suspended_term > 0 => ServerCall::Resume,
@@ -54,5 +68,5 @@
     };
     let line = format!("server {server} is sent {request:?}, as another is the primary of term {term}");
     node.promotion_state.record_event(line);
-    call(&node, &server, request).await;
+    call(node, server, request).await;
 }
