With no healthy replica left, an ejected one is tried after 2 s; reads wait while there is nobody to ask

Change: health/readmission.rs: without a healthy replica the wait before probation is a fifteenth (2 s by default, it doubles as the other does). read/rounds.rs: a read that finds nobody to ask looks again for 800 ms at most, with the assignment of that moment. The same on the direct path for probation; it waited already. Tests: proxy/tests/health_state.rs (the wait, its doubling, that a healthy replica keeps it long).

--- a/crates/node/src/promotion/direct/probation.rs
+++ b/crates/node/src/promotion/direct/probation.rs
@@ -22,7 +22,7 @@
     for server in node.proxy.registry.servers() {
         let interval = PRIMARY_INTERVAL * divisor;
         let asked_lately = now() < server.status.lock().unwrap().asked_at + interval;
-        if !is_due_for_probation(&server) || asked_lately {
+        if asked_lately || !is_due_for_probation(node, &server) {
             continue;
         }
         server.status.lock().unwrap().asked_at = now();
@@ -35,9 +35,12 @@
     (live_nodes as u64 / NODES_PER_INTERVAL).max(1)
 }
 
-fn is_due_for_probation(server: &ServerEntry) -> bool {
-    let health = server.health.lock().unwrap();
-    health.state == HealthState::Ejected && now() >= health.ejected_until
+fn is_due_for_probation(node: &Node, server: &ServerEntry) -> bool {
+    if server.health.lock().unwrap().state != HealthState::Ejected {
+        return false;
+    }
+    let group_health = node.proxy.registry.group_health(&server.group());
+    now() >= server.health.lock().unwrap().probation_due_at(group_health)
 }
 
 async fn probe_for_probation(node: Arc<Node>, server: Arc<ServerEntry>) {
@@ -47,6 +50,7 @@
         .registry
         .with_primary_positions(&server.group(), |positions| positions.needed(now(), MAX_STALENESS));
     if required.is_some_and(|required| status.received >= required) {
-        server.health.lock().unwrap().status_succeeded(now());
+        let group_health = node.proxy.registry.group_health(&server.group());
+        server.health.lock().unwrap().status_succeeded(now(), group_health);
     }
 }
--- a/crates/proxy/src/health/mod.rs
+++ b/crates/proxy/src/health/mod.rs
@@ -3,4 +3,5 @@
 pub mod evidence;
 pub mod overdue_replies;
 pub mod probe;
+pub mod readmission;
 pub mod state;
--- a/crates/proxy/src/health/probe.rs
+++ b/crates/proxy/src/health/probe.rs
@@ -149,9 +149,13 @@
 fn note_freshness(registry: &Registry, server: &ServerEntry, status: &Status) {
     let needed = registry.needed_position(&server.group(), PROBATION_MAX_STALENESS);
     let is_fresh = needed.is_some_and(|position| status.stamp.position >= position);
+    if !is_fresh || server.health.lock().unwrap().state != HealthState::Ejected {
+        return;
+    }
+    let group_health = registry.group_health(&server.group());
     let mut health = server.health.lock().unwrap();
-    if is_fresh && health.state == HealthState::Ejected {
-        health.status_succeeded(now());
+    if health.state == HealthState::Ejected {
+        health.status_succeeded(now(), group_health);
         if health.state == HealthState::Probation {
             log::info!(target: "health", "server {} is on probation", server.name);
         }
--- a/crates/proxy/src/health/state.rs
+++ b/crates/proxy/src/health/state.rs
@@ -1,6 +1,7 @@
 //! The health state of one server: evidence is weighed into healthy, ejected or on probation. Without I/O.
 use crate::health::evidence::{ConnectionEnd, Evidence, HealthSignal};
 use crate::health::overdue_replies::{OverdueFinding, OverdueReplies};
+use crate::health::readmission::GroupHealth;
 use quincehatch_config::configuration::HealthSettings;
 use quincehatch_core::{Millis, messages};
 use std::collections::VecDeque;
@@ -68,7 +69,7 @@
     pub transitions: VecDeque<HealthTransition>,
     /// An ejected server goes on probation no sooner.
     pub ejected_until: Millis,
-    ejected_for: Millis,
+    pub(super) ejected_for: Millis,
     probation_successes: u64,
     probation_request: Option<u64>,
     /// How often it was ejected.
@@ -191,8 +192,8 @@
     }
 
     /// STATUS was answered and the server is fresh: once its time is over, an ejected server goes on probation.
-    pub fn status_succeeded(&mut self, now: Millis) {
-        if self.state == HealthState::Ejected && now >= self.ejected_until {
+    pub fn status_succeeded(&mut self, now: Millis, group: GroupHealth) {
+        if self.state == HealthState::Ejected && now >= self.probation_due_at(group) {
             self.probation_successes = 0;
             self.probation_request = None;
             self.change_state(now, HealthState::Probation, "the wait is over and STATUS is fresh".into());
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -47,7 +47,7 @@
 pub mod proxy;
 
 pub use client_api::{listener, request};
-pub use health::{evidence, overdue_replies, probe, state};
+pub use health::{evidence, overdue_replies, probe, readmission, state};
 pub use pool::slots;
 pub use proxy::Proxy;
 pub use routing::{in_flight, registry};
--- a/crates/proxy/src/read/attempts.rs
+++ b/crates/proxy/src/read/attempts.rs
@@ -6,6 +6,7 @@
 use crate::pool::slots::ConnectionUse;
 use crate::pool::{CheckoutError, CheckoutRequest, PoolLimits, check_out};
 use crate::read::freshness::{AskedServer, is_fresh};
+use crate::read::rounds::{RoundOutcome, Rounds};
 use crate::rejections::rejection_error;
 use crate::routing::registry::{Registry, ServerCheckout};
 use crate::routing::server_choice::{self, ChoiceReason, ReadQuery, ServerChoice};
@@ -18,12 +19,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// How often all servers are asked anew.
-const MAX_ROUNDS: usize = 60;
 /// Time between two rounds.
 const ROUND_PAUSE: Duration = Duration::from_millis(40);
-/// With less time left no round is begun.
-const MIN_ROUND_TIME: Millis = 60;
 /// When a client may come again after no server could answer.
 const RETRY_AFTER: Millis = 500;
 
@@ -35,8 +32,7 @@
     pending: PendingReply,
     /// Servers asked in this round.
     tried: Vec<Name>,
-    /// Rounds that are over.
-    rounds: usize,
+    rounds: Rounds,
     /// Why there is no answer yet.
     last_error: Error,
 }
@@ -59,7 +55,7 @@
             configuration,
             route,
             tried: Vec::new(),
-            rounds: 0,
+            rounds: Rounds::default(),
             last_error: ErrorCode::AllReplicasEjected.without_detail(),
         })
     }
@@ -90,9 +86,12 @@
         services: &Services,
         request: &ClientRequest,
     ) -> Result<(), Error> {
-        self.rounds += 1;
-        let may_do_better = self.may_do_better() && self.rounds < MAX_ROUNDS;
-        if self.tried.is_empty() || !may_do_better || request.time_left() < MIN_ROUND_TIME {
+        let outcome = match (self.tried.is_empty(), self.may_do_better()) {
+            (true, _) => RoundOutcome::NobodyAsked,
+            (false, true) => RoundOutcome::MayDoBetter,
+            (false, false) => RoundOutcome::Hopeless,
+        };
+        if !self.rounds.end(outcome, request.time_left()) {
             return Err(self.last_error.clone().with_retry_after(RETRY_AFTER));
         }
         // Nobody is asked again before an answer could be proved fresh.
@@ -147,7 +146,7 @@
         let connection_id = &checkout.connection().id;
         let server_request = call::run(connection_id, request.text(), &request.body.params);
         let asked = AskedServer { choice, at: now() };
-        let first_attempt = self.tried.len() == 1 && self.rounds == 0;
+        let first_attempt = self.tried.len() == 1 && self.rounds.is_first();
         let pending = PendingReply { first_attempt, ..self.pending };
         let attempt = Attempt { id: choice.attempt_id, checkout, request: server_request, pending };
         let request_deadline = request.deadline;
--- a/crates/proxy/src/read/mod.rs
+++ b/crates/proxy/src/read/mod.rs
@@ -2,6 +2,7 @@
 //! retried at another server within the request's time.
 pub mod attempts;
 pub mod freshness;
+pub mod rounds;
 
 use crate::client_api::reply::RequestResult;
 use crate::client_api::request::ClientRequest;
@@ -17,6 +18,8 @@
         let attempt_id = services.next_request_id();
         let Some(choice) = attempts.choose(services, request, attempt_id) else {
             attempts.wait_for_next_round(services, request).await?;
+            // Another primary may be assigned by now.
+            request.cluster_state = services.registry.cluster_state();
             continue;
         };
         match attempts.ask(services, request, &choice).await {
--- a/crates/proxy/tests/health_state.rs
+++ b/crates/proxy/tests/health_state.rs
@@ -1,6 +1,7 @@
 //! How evidence ejects a server and a probation brings it back.
 use quincehatch_config::configuration::{Configuration, HealthSettings};
 use quincehatch_proxy::evidence::{ConnectionEnd, HealthSignal};
+use quincehatch_proxy::readmission::GroupHealth;
 use quincehatch_proxy::state::{Health, HealthState};
 
 fn health_settings() -> HealthSettings {
@@ -13,9 +14,9 @@
     let mut health = Health::default();
     health.connection_ended(100, &settings, ConnectionEnd::Reset);
     assert_eq!(health.state, HealthState::Ejected);
-    health.status_succeeded(100 + settings.probation_after_ms - 1);
+    health.status_succeeded(100 + settings.probation_after_ms - 1, GroupHealth::SomeHealthy);
     assert_eq!(health.state, HealthState::Ejected);
-    health.status_succeeded(100 + settings.probation_after_ms);
+    health.status_succeeded(100 + settings.probation_after_ms, GroupHealth::SomeHealthy);
     assert!(health.accepts_probation_request());
     for id in 1..=settings.probation_successes {
         health.begin_probation_request(id);
@@ -26,6 +27,25 @@
     assert_eq!(health.transitions.len(), 3);
 }
 
+#[test]
+fn the_only_replica_left_is_tried_after_a_part_of_the_wait_which_doubles_too() {
+    let settings = health_settings();
+    let mut health = Health::default();
+    health.connection_ended(100, &settings, ConnectionEnd::Reset);
+    let mut now = 100;
+    for wait in [2_000, 4_000, 8_000, 16_000, 16_000] {
+        health.status_succeeded(now + wait - 1, GroupHealth::NoneHealthy);
+        assert_eq!(health.state, HealthState::Ejected, "after {wait} ms");
+        now += wait;
+        health.status_succeeded(now, GroupHealth::SomeHealthy);
+        assert_eq!(health.state, HealthState::Ejected, "another replica is healthy");
+        health.status_succeeded(now, GroupHealth::NoneHealthy);
+        assert!(health.accepts_probation_request());
+        health.begin_probation_request(7);
+        health.probation_failed(now, &settings, 7);
+    }
+}
+
 #[test]
 fn the_ejection_time_doubles_up_to_its_bound_when_probations_fail() {
     let settings = health_settings();
@@ -36,7 +56,7 @@
     for _ in 0..5 {
         ejection_times.push(health.ejected_until - now);
         now = health.ejected_until;
-        health.status_succeeded(now);
+        health.status_succeeded(now, GroupHealth::SomeHealthy);
         health.begin_probation_request(7);
         health.probation_failed(now, &settings, 7);
     }
