--- a/tools/own_days.py
+++ b/tools/own_days.py
@@ -7,7 +7,7 @@
 
 BENCH is the path of the bench's program, SITE that of a site file. Points: 1 a core machine is cut
 off for about twenty seconds, 2 two operators, 3 a second loss right after a first, 4 hundreds of
-changes, 5 resets and silences, 0 two of them at once. The same seed, point and index always draw the
+changes, 5 resets and silences, 6 the newest kinds, 0 two of the first five at once. The same seed, point and index always draw the
 same day; days 0 and 1 of point 3 are those of issue 20. A day that breaks a rule, falls short
 of the gate, holds a process that ended by itself or is not played is kept as a TOML file under
 --keep and can be played again by `BENCH run SITE FILE`, or here by `--first INDEX --days 1`.
--- a/tools/point_days.py
+++ b/tools/point_days.py
@@ -2,12 +2,16 @@
 
 The points are the failures of the control plane that issue 20 lists: 1 a core machine is cut off
 for about twenty seconds, 2 two operators change the configuration at once, 3 a second loss follows
-a first, 4 hundreds of changes before a restart or a loss, 5 resets and silences. Point 0 mixes two.
+a first, 4 hundreds of changes before a restart or a loss, 5 resets and silences. Point 6 has the
+newest kinds. Point 0 mixes two of the first five.
 """
 
+from newest_days import point_newest
 from trouble_day import Day, Draw
 
-POINTS = (1, 2, 3, 4, 5)
+POINTS = (1, 2, 3, 4, 5, 6)
+# Those that a mixed day takes two of.
+MIXED_POINTS = (1, 2, 3, 4, 5)
 MIX = 0
 CLOSINGS = (
     ("power_off_all", ""), ("wipe_after_ack", "aimed"), ("kill_all", ""), ("wipe_after_ack", "timed"),
@@ -37,7 +41,7 @@
     if point == 3 and index < len(ISSUE_DAYS):
         ISSUE_DAYS[index](day, draw)
         return day
-    for chosen in draw.two(POINTS) if point == MIX else (point,):
+    for chosen in draw.two(MIXED_POINTS) if point == MIX else (point,):
         DRAW_POINT[chosen](day, draw)
     add_config_changes(day, draw, draw.whole(2, 6))
     if draw.chance(0.4):
@@ -204,4 +208,4 @@
 
 
 DRAW_POINT = {1: point_long_cut, 2: point_two_operators, 3: point_second_loss, 4: point_many_changes,
-              5: point_resets_and_silences}
+              5: point_resets_and_silences, 6: point_newest}
--- a/tools/test_own_days.py
+++ b/tools/test_own_days.py
@@ -59,6 +59,14 @@
         self.assertEqual([fault["how"] for fault in leader_replaced["faults"]], ["leader", "leader"])
         self.assertEqual(leader_replaced["closing"]["kind"], "wipe_after_ack")
 
+    def test_every_newest_trouble_is_drawn_at_point_six(self):
+        site = Site(SITE.core_zones, 1, 4.0, SITE.kinds | {"release", "clock_step"})
+        days = [draw_day(site, 6, 1, index) for index in range(MANY_DAYS)]
+        words = {word for day in days for trouble in troubles_of(day) for word in trouble.get("how", "").split()}
+        newest = {"split", "behind", "lure", "relieve", "both", "near", "all", "seeds", "oldest", "off", "taken", "busy"}
+        self.assertLessEqual(newest, words)
+        self.assertIn("oldest", {day.closing.get("how") for day in days})
+
     def test_a_second_loss_never_falls_into_the_time_for_catching_up(self):
         for index in range(2, MANY_DAYS):
             faults = parse(draw_day(SITE, 3, 1, index))["faults"]
