Each role tells its metrics as OpenMetrics text, and the deploy file names where

Change: crate quincehatch-metrics (prometheus-client; no registry is kept, all is read off the state when asked). Node: lease, change in force, sessions, statements by result, retry budget, servers by health state, ejections, pools and queue, promotions by outcome and phase with their time, calls, answers, bytes and connections by kind of message. Keeper: view, place in the chain, votes, entries held, committed and in force, leases, disk and log, control calls by status.

--- a/crates/failover/src/promotion/protocol.rs
+++ b/crates/failover/src/promotion/protocol.rs
@@ -26,6 +26,23 @@
     Failed,
 }
 
+impl Phase {
+    /// The phase's name in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Phase::AcquiringFence => "acquiring_fence",
+            Phase::Closing => "closing",
+            Phase::Draining => "draining",
+            Phase::Fencing => "fencing",
+            Phase::Listing => "listing",
+            Phase::Promoting => "promoting",
+            Phase::Naming => "naming",
+            Phase::Done => "done",
+            Phase::Failed => "failed",
+        }
+    }
+}
+
 /// What a promotion learns.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PromotionEvent {
--- /dev/null
+++ b/crates/gossip/src/kinds.rs
@@ -0,0 +1,33 @@
+//! Names by which calls between nodes are counted.
+use crate::messages::{GossipMessage, NodeQuery};
+
+impl GossipMessage {
+    /// The name of the variant.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            GossipMessage::Ping { .. } => "ping",
+            GossipMessage::Pong { .. } => "pong",
+            GossipMessage::PingFor { .. } => "ping_for",
+            GossipMessage::Shuffle { .. } => "shuffle",
+            GossipMessage::Shuffled { .. } => "shuffled",
+            GossipMessage::Heartbeats { .. } => "heartbeats",
+        }
+    }
+}
+
+impl NodeQuery {
+    /// The name of the variant.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            NodeQuery::StoreSession { .. } => "store_session",
+            NodeQuery::FindSession { .. } => "find_session",
+            NodeQuery::SessionDigests { .. } => "session_digests",
+            NodeQuery::SessionRange { .. } => "session_range",
+            NodeQuery::ServerEvidence { .. } => "server_evidence",
+            NodeQuery::SuspectPrimary { .. } => "suspect_primary",
+            NodeQuery::InFlight { .. } => "in_flight",
+            NodeQuery::Report { .. } => "report",
+            NodeQuery::AcknowledgedEnd { .. } => "acknowledged_end",
+        }
+    }
+}
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -9,6 +9,7 @@
     clippy::min_ident_chars
 )]
 mod compact_name;
+mod kinds;
 pub mod membership;
 pub mod messages;
 pub mod ownership;
--- a/crates/gossip/src/retry_safety.rs
+++ b/crates/gossip/src/retry_safety.rs
@@ -11,6 +11,12 @@
             NodeRequest::Query { query } => query.retry_safety(),
         }
     }
+    fn kind(&self) -> &'static str {
+        match self {
+            NodeRequest::Gossip { message } => message.message.kind(),
+            NodeRequest::Query { query } => query.kind(),
+        }
+    }
 }
 
 impl NodeQuery {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,7 +6,8 @@
 //! - [`sessions`]: replicas of client sessions on other nodes;
 //! - [`promotion`]: the singleton duty that watches a group's primary and promotes another;
 //! - [`enrollment_cleanup`]: the singleton duty that dismisses nodes that are gone;
-//! - [`client_api`] and [`operator`]: what the two HTTP listeners answer.
+//! - [`client_api`] and [`operator`]: what the two HTTP listeners answer;
+//! - [`metrics`]: the node's state as metrics.
 //!
 //! All of it runs over the runtime seam, so the simulator runs the same code in virtual time.
 #![warn(
@@ -21,6 +22,7 @@
 pub mod enrollment_cleanup;
 pub mod feed;
 pub mod gossip;
+pub mod metrics;
 mod node;
 pub mod operator;
 pub mod peer_service;
--- a/crates/node/src/promotion.rs
+++ b/crates/node/src/promotion.rs
@@ -4,6 +4,7 @@
 //! The duty runs the loop over the groups. What is decided by the kind of servers stands in `pooled` and [`direct`];
 //! both share the evidence, the plan's identifiers and the execution of the steps.
 mod attempt;
+pub mod counts;
 pub mod direct;
 mod duty;
 pub(crate) mod evidence;
--- a/crates/node/src/promotion/direct/handover.rs
+++ b/crates/node/src/promotion/direct/handover.rs
@@ -48,6 +48,7 @@
     }
     seam::trace_point("handover: the successor is promoted");
     let assigned = handover.assign_successor().await;
+    node.promotion_state.counts.record_outcome(if assigned { "handed_over" } else { "handover_failed" });
     let line = format!(
         "the primary of {} was handed over to {} under fence {fence} in {} ms",
         plan.group,
--- a/crates/node/src/promotion/execution.rs
+++ b/crates/node/src/promotion/execution.rs
@@ -20,6 +20,7 @@
 /// Runs a promotion to its end.
 pub(super) async fn run_promotion(node: Arc<Node>, plan: PromotionPlan) {
     let began_at = now();
+    let mut phase_since = began_at;
     let group = plan.group.clone();
     let (mut promotion, actions) = Promotion::new(began_at, plan.clone());
     let (completed_sender, mut completed) = mpsc::unbounded_channel();
@@ -34,10 +35,16 @@
             }
             _ => PromotionEvent::Tick,
         };
+        let phase = promotion.phase;
         let actions = promotion.step(now(), event);
+        if promotion.phase != phase {
+            node.promotion_state.counts.record_phase(phase, now() - phase_since);
+            phase_since = now();
+        }
         executor.start_actions(actions);
     }
     let (phase, elapsed) = (promotion.phase, now() - began_at);
+    node.promotion_state.counts.record_outcome(phase.label());
     let line = format!("promotion in {group} ended {phase:?} after {elapsed} ms");
     node.promotion_state.record_event(line);
 }
--- a/crates/node/src/promotion/state.rs
+++ b/crates/node/src/promotion/state.rs
@@ -1,4 +1,5 @@
 //! What the promotion duty keeps of all groups, for this node's other tasks to read.
+use super::counts::PromotionCounts;
 use super::direct::{AcknowledgedBounds, ServerStatuses};
 use super::suspicion::Suspicions;
 use quincehatch_core::{FencingToken, Millis, Name, PrimaryAssignment};
@@ -23,6 +24,8 @@
     own_fences: Mutex<BTreeMap<Name, FencingToken>>,
     /// Identifies this process.
     pub incarnation: Incarnation,
+    /// Promotions by phase and outcome.
+    pub counts: PromotionCounts,
     /// Progress of the last promotions, newest last, for `quincehatchctl explain`.
     pub events: Mutex<Vec<String>>,
 }
--- a/crates/proxy/src/direct/mod.rs
+++ b/crates/proxy/src/direct/mod.rs
@@ -25,6 +25,7 @@
 mod session_transaction;
 mod single_statement;
 mod statement;
+mod statement_counts;
 mod transaction;
 
 pub use command::{SessionCommand, SessionRequest};
@@ -32,3 +33,4 @@
 pub use response::{StatementError, StatementResponse, StatementResult};
 pub use route::ResolvedRoute;
 pub use session::DirectSession;
+pub use statement_counts::{StatementCounts, StatementOutcome};
--- a/crates/proxy/src/direct/proxy.rs
+++ b/crates/proxy/src/direct/proxy.rs
@@ -1,5 +1,6 @@
 //! What all direct sessions of a proxy share.
 use super::route::ResolvedRoute;
+use super::statement_counts::StatementCounts;
 use crate::Proxy;
 use crate::pool::limits::keepalive_settings;
 use crate::ports::ServerConnector;
@@ -34,6 +35,8 @@
     pub live_nodes: AtomicUsize,
     /// Open sessions.
     pub open_sessions: AtomicUsize,
+    /// How statements ended.
+    pub statement_counts: StatementCounts,
     prepared_names: Mutex<HashMap<PreparedKey, Name>>,
 }
 
@@ -61,6 +64,7 @@
             servers,
             live_nodes: AtomicUsize::new(1),
             open_sessions: AtomicUsize::new(0),
+            statement_counts: StatementCounts::default(),
             prepared_names: Mutex::default(),
         })
     }
--- a/crates/proxy/src/direct/session.rs
+++ b/crates/proxy/src/direct/session.rs
@@ -83,6 +83,12 @@
 
     /// Carries a command out.
     pub async fn execute(&mut self, request: SessionRequest) -> StatementResponse {
+        let response = self.carry_out(request).await;
+        self.direct.statement_counts.record(&response);
+        response
+    }
+
+    async fn carry_out(&mut self, request: SessionRequest) -> StatementResponse {
         let state = self.transaction_state();
         let id = request.id;
         match request.command {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod keeper;
 pub mod limits;
 pub mod messages;
+pub mod metrics;
 pub mod node_leases;
 mod peers;
 pub mod record;
--- a/crates/store/src/messages.rs
+++ b/crates/store/src/messages.rs
@@ -1,6 +1,7 @@
 //! The messages of the replicated store: between keepers, and between keepers and their clients.
 mod client;
 mod idempotency;
+mod kinds;
 mod peer;
 mod status;
 
--- a/crates/store/src/messages/idempotency.rs
+++ b/crates/store/src/messages/idempotency.rs
@@ -10,6 +10,12 @@
             KeeperRequest::Node { request } => request.retry_safety(),
         }
     }
+    fn kind(&self) -> &'static str {
+        match self {
+            KeeperRequest::Peer { message, .. } => message.kind(),
+            KeeperRequest::Node { request } => request.kind(),
+        }
+    }
 }
 
 impl PeerMessage {
--- /dev/null
+++ b/crates/store/src/metrics.rs
@@ -0,0 +1,59 @@
+//! The metrics of a keeper, read off its status (docs/operate.md has a table of them).
+use crate::messages::{KeeperStatus, LeaseStatus};
+use quincehatch_metrics::Metric;
+
+const MS_PER_SECOND: f64 = 1_000.0;
+
+/// What a keeper's status says, as metrics.
+pub fn keeper_metrics(status: &KeeperStatus) -> Vec<Metric> {
+    let mut metrics = place_in_the_chain(status);
+    metrics.extend(progress(status));
+    metrics.extend(leases(&status.leases));
+    metrics.push(
+        Metric::gauge("disk_bytes", "Size of the data folder")
+            .with_label("what", "used", status.disk.used as f64)
+            .with_label("what", "allowed", status.disk.allowed as f64),
+    );
+    metrics.push(Metric::gauge("log_entries", "Entries kept in memory").with(status.log.entries as f64));
+    metrics.push(Metric::gauge("log_bytes", "Bytes of these entries").with(status.log.bytes as f64));
+    metrics
+}
+
+fn place_in_the_chain(status: &KeeperStatus) -> Vec<Metric> {
+    let view = &status.view;
+    let position = view.members.iter().position(|member| *member == status.name);
+    // Counted from the head, which is 1; 0 outside.
+    let position = position.map_or(0, |index| index + 1);
+    let flag = |condition: bool| f64::from(u8::from(condition));
+    vec![
+        Metric::gauge("view_version", "Newest view that the keeper knows").with(view.version as f64),
+        Metric::gauge("view_members", "Members of the chain").with(view.members.len() as f64),
+        Metric::gauge("view_voters", "Keepers that vote").with(view.voters.len() as f64),
+        Metric::gauge("chain_position", "Place in the chain, the head is 1; 0 outside").with(position as f64),
+        Metric::gauge("votes", "1 if the keeper votes").with(flag(view.is_voter(&status.name))),
+        Metric::gauge("serves", "1 if the keeper answers as the tail").with(flag(status.serving)),
+    ]
+}
+
+fn progress(status: &KeeperStatus) -> Vec<Metric> {
+    let change =
+        |name: &'static str, help: &'static str, number: u64| Metric::gauge(name, help).with(number as f64);
+    vec![
+        change("change_held", "Newest entry that the keeper holds", status.last_change),
+        change("change_committed", "Newest entry that it knows to be committed", status.committed),
+        change("change_in_force", "Newest entry that every lease holder applied", status.in_force),
+        change("configuration_version", "Version of the configuration that it holds", status.version),
+    ]
+}
+
+fn leases(leases: &[LeaseStatus]) -> Vec<Metric> {
+    let shortest = leases.iter().map(|lease| lease.remaining_ms).min().unwrap_or_default();
+    let oldest_applied = leases.iter().map(|lease| lease.applied).min().unwrap_or_default();
+    vec![
+        Metric::gauge("leases", "Leases of nodes that the keeper has granted").with(leases.len() as f64),
+        Metric::gauge("lease_shortest_seconds", "Time until the first of them ends")
+            .with(shortest as f64 / MS_PER_SECOND),
+        Metric::gauge("lease_oldest_change", "Oldest change that a lease holder is at")
+            .with(oldest_applied as f64),
+    ]
+}
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -50,4 +50,6 @@
     type Answer: BorshSerialize + BorshDeserialize + Send + Sync + 'static;
     /// Whether this request may be sent again.
     fn retry_safety(&self) -> RetrySafety;
+    /// What the calls of this process are counted by: a short name of the variant.
+    fn kind(&self) -> &'static str;
 }
--- a/crates/wire/src/caller.rs
+++ b/crates/wire/src/caller.rs
@@ -3,7 +3,7 @@
 use crate::frame::{
     AnswerHeader, FrameKind, Incoming, RequestHeader, encode, invalid, read_frame, write_frame,
 };
-use crate::{Call, CallError, Destination, Identity, ProcessId, RetrySafety};
+use crate::{Call, CallError, Destination, Identity, ProcessId, RetrySafety, traffic};
 use compact_str::format_compact;
 use quincehatch_runtime::seam::{self, World};
 use std::io;
@@ -124,6 +124,7 @@
         let addr = outgoing.to.addr;
         let refused = |error: io::Error| CallError::NotSent(format_compact!("{addr}: {error}"));
         let stream = self.connector.connect(addr).await.map_err(refused)?;
+        traffic::count(outgoing.request.kind(), |counts| counts.connections += 1);
         self.attempt(Connection { stream, peer: None }, outgoing).await
     }
 
@@ -135,6 +136,7 @@
     ) -> Result<Q::Answer, CallError> {
         let to = outgoing.to;
         let broke = |error: io::Error| outgoing.error(error);
+        let kind = outgoing.request.kind();
         let receiver = connection.receiver_tag(&to);
         let frame = self.encode_request(receiver, outgoing.request).map_err(broke)?;
         outgoing.progress.set_written(true);
@@ -143,7 +145,15 @@
             outgoing.progress.set_written(false);
             return Err(outgoing.error(error));
         }
+        traffic::count(kind, |counts| {
+            counts.requests += 1;
+            counts.request_bytes += frame.bytes.len() as u64;
+        });
         let bytes = read_frame(&mut connection.stream).await.map_err(broke)?;
+        traffic::count(kind, |counts| {
+            counts.answers += 1;
+            counts.answer_bytes += bytes.len() as u64;
+        });
         let received = decode_answer::<Q>(&bytes, frame.call).map_err(broke)?;
         let responder = received.responder;
         let answer = received.answer.ok_or(CallError::WrongReceiver { by: responder })?;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod http;
 mod identity;
 mod server;
+pub mod traffic;
 
 pub use call::{Call, IdempotencyKey, RetrySafety};
 pub use caller::Caller;
--- a/crates/wire/tests/wire/main.rs
+++ b/crates/wire/tests/wire/main.rs
@@ -33,4 +33,11 @@
             TestRequest::Once(_) => RetrySafety::Never,
         }
     }
+    fn kind(&self) -> &'static str {
+        match self {
+            TestRequest::Read(_) => "read",
+            TestRequest::Write(_) => "write",
+            TestRequest::Once(_) => "once",
+        }
+    }
 }
