Simulator of the control plane: halves, left behind, oldest disks, disks lost with all power

New faults in every second group of seeds (control/overlaps.rs), beside the known ones: the core cut into halves whatever is lost; a minority that misses changes, then others lose their disks, the rest are dark, the cut heals; the oldest disk replaced or wiped; some disks lost and all other machines without power in the same moment. The history check is the same.

--- a/crates/simulator/src/control/budget.rs
+++ b/crates/simulator/src/control/budget.rs
@@ -14,17 +14,21 @@
     lost: BTreeMap<usize, Loss>,
     /// Spans of trouble with the core; an event is an empty span.
     disturbances: Vec<(Millis, Millis)>,
+    /// Spans in which halves of the core do not reach each other, and in which they catch up after that: a machine that
+    /// was lost before cannot be made up for meanwhile.
+    halves: Vec<(Millis, Millis)>,
 }
 
 impl FaultBudget {
     /// True when losing the machine in `slot` as well stays within what is tolerated.
     pub fn allows(&self, slot: usize, now: Millis, tolerated: usize) -> bool {
-        let others = self.lost.iter().filter(|(other, lost)| **other != slot && lost.holds(now)).count();
+        let others =
+            self.lost.iter().filter(|(other, lost)| **other != slot && self.holds(**lost, now)).count();
         others < tolerated
     }
     /// True when no machine counts as lost.
     pub fn none_lost(&self, now: Millis) -> bool {
-        !self.lost.values().any(|lost| lost.holds(now))
+        !self.lost.values().any(|lost| self.holds(*lost, now))
     }
     /// True while the machine in `slot` is down or in trouble.
     pub fn is_lost_now(&self, slot: usize) -> bool {
@@ -40,6 +44,17 @@
         };
         self.lost.insert(slot, Loss::Until(until.max(had)));
     }
+    pub fn record_halves(&mut self, from: Millis, to: Millis) {
+        self.halves.push((from, to));
+    }
+    fn holds(&self, loss: Loss, now: Millis) -> bool {
+        match loss {
+            Loss::Now => true,
+            Loss::Until(until) => {
+                now < until || self.halves.iter().any(|(from, to)| until > *from && now < *to)
+            }
+        }
+    }
     pub fn record_disturbance(&mut self, from: Millis, to: Millis) {
         self.disturbances.push((from, to));
     }
@@ -59,12 +74,3 @@
         spans
     }
 }
-
-impl Loss {
-    fn holds(self, now: Millis) -> bool {
-        match self {
-            Loss::Now => true,
-            Loss::Until(until) => now < until,
-        }
-    }
-}
--- a/crates/simulator/src/control/cluster.rs
+++ b/crates/simulator/src/control/cluster.rs
@@ -121,7 +121,9 @@
             return Disk::new(address.to_string(), found, sync_ms);
         }
         let salt = self.core.lock().rng.next_u64() as u32;
-        Disk::new(format!("{address}#{salt:08x}"), RecoveredState::default(), sync_ms)
+        let mut disk = Disk::new(format!("{address}#{salt:08x}"), RecoveredState::default(), sync_ms);
+        disk.born_at = self.core.now();
+        disk
     }
 
     pub fn below(&self, limit: u64) -> u64 {
--- a/crates/simulator/src/control/disk.rs
+++ b/crates/simulator/src/control/disk.rs
@@ -13,6 +13,8 @@
     since_snapshot: usize,
     /// Handed over, not synced yet.
     pending: Vec<Record>,
+    /// When it was put in, empty.
+    pub born_at: Millis,
     /// Time of one sync.
     pub sync_ms: Millis,
     /// No sync ends before that time.
--- a/crates/simulator/src/control/faults.rs
+++ b/crates/simulator/src/control/faults.rs
@@ -57,6 +57,24 @@
     },
     /// The list of seeds names other machines, and every process is told.
     ChangeSeeds,
+    /// The machine whose disk has lasted longest goes for good, or comes back empty; an empty one comes.
+    LoseOldestDisk {
+        replaced: bool,
+        down: Millis,
+    },
+    /// The core is cut into halves, whatever is lost already.
+    Halves {
+        time: Millis,
+    },
+    /// A minority misses changes; then others lose their disks, the rest are dark, and the cut heals.
+    LeaveBehind {
+        missed: Millis,
+        dark: Millis,
+    },
+    /// Some lose their disks, and all others lose power in the same moment.
+    WipeAndPowerOff {
+        dark: Millis,
+    },
     /// Every core process is killed, or loses power, at once.
     KillAll {
         power: bool,
@@ -80,9 +98,12 @@
 impl Fault {
     pub fn cost(self) -> FaultCost {
         match self {
-            Fault::LoseReplies { .. } | Fault::ChangeSeeds => FaultCost::None,
+            Fault::LoseReplies { .. } | Fault::ChangeSeeds | Fault::Halves { .. } => FaultCost::None,
             Fault::PlannedReplace { .. } => FaultCost::Planned,
-            Fault::KillAll { .. } | Fault::Split { .. } => FaultCost::All,
+            Fault::KillAll { .. }
+            | Fault::Split { .. }
+            | Fault::LeaveBehind { .. }
+            | Fault::WipeAndPowerOff { .. } => FaultCost::All,
             _ => FaultCost::Machine,
         }
     }
@@ -93,11 +114,21 @@
 const MAX_SUSPENSION: Millis = 8_000;
 const MAX_DISK_STALL: Millis = 6_000;
 const MAX_DOWNTIME: Millis = 3_000;
+/// Share of the faults that overlap beyond what is tolerated, in runs that draw these.
+const OVERLAP_PER_MILLE: u64 = 400;
 
 pub fn draw_fault(cluster: &Cluster) -> Fault {
     let mut core = cluster.core.lock();
     let rng = &mut core.rng;
     let down = 100 + rng.below(MAX_DOWNTIME);
+    if cluster.parameters.draws_overlaps && rng.chance(OVERLAP_PER_MILLE) {
+        return match rng.below(5) {
+            0 => Fault::LoseOldestDisk { replaced: rng.chance(500), down },
+            1 | 2 => Fault::Halves { time: 200 + rng.below(MAX_SUSPENSION) },
+            3 => Fault::LeaveBehind { missed: 300 + rng.below(MAX_DISK_STALL), dark: down },
+            _ => Fault::WipeAndPowerOff { dark: down },
+        };
+    }
     match rng.below(100) {
         0..16 => Fault::Replace,
         16..24 => Fault::PlannedReplace { after: 500 + rng.below(6_000) },
--- a/crates/simulator/src/control/inject.rs
+++ b/crates/simulator/src/control/inject.rs
@@ -7,6 +7,7 @@
 };
 use super::faults::{self, Fault, FaultCost};
 use super::leave::stop_when_allowed;
+use super::overlaps;
 use crate::fleet::simulation::Simulation;
 use quincehatch_core::Millis;
 use std::sync::Arc;
@@ -21,7 +22,12 @@
     core.schedule_action(at, move |_| {
         let fault = faults::draw_fault(&cluster);
         let present = cluster.present();
-        let machine = present[cluster.below(present.len() as u64) as usize];
+        let drawn = present[cluster.below(present.len() as u64) as usize];
+        let oldest = match fault {
+            Fault::LoseOldestDisk { .. } => overlaps::oldest_disk(&cluster),
+            _ => None,
+        };
+        let machine = oldest.unwrap_or(drawn);
         inject_when_allowed(cluster, fault, machine);
     });
 }
@@ -71,13 +77,13 @@
             let act = move |cluster: &Arc<Cluster>| stop_when_allowed(cluster.clone(), machine, now);
             schedule_at(cluster, now + after, act);
         }
-        Fault::WipeDisk { down } => {
-            kill_for(cluster, machine, false, down);
-            let address = cluster.state.lock().unwrap().machines[machine].address.clone();
-            *cluster.disk(machine).lock().unwrap() = cluster.empty_disk(&address);
-        }
+        Fault::LoseOldestDisk { replaced: true, .. } => replace(cluster, machine),
+        Fault::WipeDisk { down } | Fault::LoseOldestDisk { down, .. } => wipe_disk(cluster, machine, down),
         Fault::Isolate { all, one_way, time } => isolate(cluster, machine, all, one_way, now + time),
         Fault::Split { time } => split_core(cluster, time),
+        Fault::Halves { time } => overlaps::cut_in_halves(cluster, time),
+        Fault::LeaveBehind { missed, dark } => overlaps::leave_behind(cluster, missed, dark),
+        Fault::WipeAndPowerOff { dark } => overlaps::wipe_some_power_off_rest(cluster, dark),
         Fault::Suspend { time } => {
             record_disturbance(cluster);
             cluster.core.suspend(cluster.pid(machine), time);
@@ -116,6 +122,13 @@
     });
 }
 
+/// The disk is lost; an empty machine comes back at the same address.
+fn wipe_disk(cluster: &Arc<Cluster>, machine: usize, down: Millis) {
+    kill_for(cluster, machine, false, down);
+    let address = cluster.state.lock().unwrap().machines[machine].address.clone();
+    *cluster.disk(machine).lock().unwrap() = cluster.empty_disk(&address);
+}
+
 /// Kills a machine and restarts it later.
 fn kill_for(cluster: &Arc<Cluster>, machine: usize, power_loss: bool, down: Millis) {
     kill_machine(cluster, machine, power_loss);
--- a/crates/simulator/src/control/mod.rs
+++ b/crates/simulator/src/control/mod.rs
@@ -16,7 +16,8 @@
 mod machine;
 mod node;
 mod operator;
-pub mod parameters;
+pub mod overlaps;
+mod parameters;
 mod recovery;
 mod run;
 
--- a/crates/simulator/src/control/parameters.rs
+++ b/crates/simulator/src/control/parameters.rs
@@ -65,6 +65,8 @@
     pub successor_delay: Millis,
     /// Faults that are drawn though the product is known not to withstand them.
     pub allowed: Allowed,
+    /// Faults may overlap beyond what is tolerated, as long as no more disks are lost.
+    pub draws_overlaps: bool,
     /// Faults begin at this time.
     pub faults_from: Millis,
     /// No new fault comes after that.
@@ -88,6 +90,8 @@
 const LEAVE_TIMEOUT: Millis = 4_500;
 /// Every so many seeds of a shape, one is a storm of changes; the others have few.
 const STORM_EVERY: u64 = 8;
+/// Every so many seeds of a shape, one draws faults that overlap beyond what is tolerated.
+const OVERLAPS_EVERY: u64 = 2;
 
 impl Parameters {
     /// The parameters of a seed.
@@ -98,6 +102,7 @@
         Parameters {
             shape,
             allowed,
+            draws_overlaps: (seed / SHAPES.len() as u64) % OVERLAPS_EVERY == 1,
             leave_timeout: LEAVE_TIMEOUT,
             catch_up_time: catch_up,
             settle_time: 4_000,
