--- a/crates/metrics/src/endpoint.rs
+++ b/crates/metrics/src/endpoint.rs
@@ -1,4 +1,4 @@
-//! Where a process tells its metrics: a port and a path.
+//! Where a process exposes its metrics: a port and a path.
 use std::fmt;
 use std::str::FromStr;
 
--- a/crates/metrics/tests/metrics.rs
+++ b/crates/metrics/tests/metrics.rs
@@ -1,4 +1,4 @@
-//! The text of metrics, and where it is told.
+//! The text of metrics, and the endpoint that exposes it.
 use quincehatch_metrics::{Metric, MetricsEndpoint, render, serve};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -13,7 +13,7 @@
 }
 
 #[test]
-fn metrics_are_told_in_the_open_metrics_format() {
+fn metrics_are_rendered_in_the_open_metrics_format() {
     let expected = "\
 # HELP quincehatch_lease_remaining_seconds Time until the lease ends
 # TYPE quincehatch_lease_remaining_seconds gauge
--- a/crates/node/src/metrics/servers.rs
+++ b/crates/node/src/metrics/servers.rs
@@ -28,7 +28,8 @@
         Metric::gauge("servers_draining", "Servers that drain").with(totals.draining as f64),
         Metric::gauge("servers_failing", "Servers whose status probes fail").with(totals.failing as f64),
         Metric::counter("ejections", "Ejections of servers").with(totals.ejections as f64),
-        Metric::gauge("replies_pending", "Replies that servers owe").with(totals.pending_replies as f64),
+        Metric::gauge("replies_pending", "Replies that are pending at servers")
+            .with(totals.pending_replies as f64),
         Metric::gauge("connections", "Connections to servers")
             .with_label("state", "idle", totals.idle as f64)
             .with_label("state", "checked_out", totals.checked_out as f64),
--- a/crates/node/tests/metrics.rs
+++ b/crates/node/tests/metrics.rs
@@ -42,43 +42,43 @@
     }
 }
 
-fn told(node: &Arc<Node>) -> String {
+fn rendered(node: &Arc<Node>) -> String {
     let direct = DirectProxy::new(node.proxy.clone(), Arc::new(NoServers));
     render(node_metrics(node, &direct))
 }
 
 #[tokio::test]
-async fn a_node_without_a_lease_tells_that_it_is_not_ready() {
+async fn a_node_without_a_lease_reports_that_it_is_not_ready() {
     let node = Node::new(&settings());
-    let text = told(&node);
+    let text = rendered(&node);
     for line in
         ["quincehatch_ready 0.0", "quincehatch_lease_remaining_seconds 0.0", "quincehatch_retries_left 512.0"]
     {
-        assert!(text.lines().any(|told| told == line), "{line} in {text}");
+        assert!(text.lines().any(|found| found == line), "{line} in {text}");
     }
 }
 
 #[tokio::test]
-async fn promotions_are_told_by_phase_and_outcome() {
+async fn promotions_are_reported_by_phase_and_outcome() {
     let node = Node::new(&settings());
     let counts = &node.promotion_state.counts;
     counts.record_phase(Phase::Fencing, 250);
     counts.record_phase(Phase::Fencing, 500);
     counts.record_outcome("done");
-    let text = told(&node);
+    let text = rendered(&node);
     for line in [
         "quincehatch_promotion_phases_total{phase=\"fencing\"} 2.0",
         "quincehatch_promotion_phase_seconds_total{phase=\"fencing\"} 0.75",
         "quincehatch_promotions_total{outcome=\"done\"} 1.0",
     ] {
-        assert!(text.lines().any(|told| told == line), "{line} in {text}");
+        assert!(text.lines().any(|found| found == line), "{line} in {text}");
     }
 }
 
 /// Labels name states and kinds; a server, a group or a client as label would let the text grow with the fleet.
 #[tokio::test]
 async fn no_label_names_a_server_or_a_group() {
-    let text = told(&Node::new(&settings()));
+    let text = rendered(&Node::new(&settings()));
     for label in ["server=", "group=", "node=", "db=", "addr="] {
         assert!(!text.contains(label), "{label} in {text}");
     }
--- a/crates/simulator/tests/control_sim.rs
+++ b/crates/simulator/tests/control_sim.rs
@@ -18,6 +18,25 @@
     }
 }
 
+/// Seeds that once ended without a majority: a machine that was killed or cut off while it left counted as no loss.
+#[test]
+fn removals_without_notice_are_losses() {
+    for seed in [9_500_445, 9_500_941, 314_000_658, 314_001_442, 314_001_678, 314_001_721, 314_001_942] {
+        let report = one(seed, NONE, None);
+        assert!(report.violations.is_empty(), "seed {seed}: {:#?}", report.violations);
+    }
+}
+
+/// Seeds with cuts in halves, machines left behind, and disks lost with all power.
+#[test]
+fn faults_that_overlap_beyond_what_is_tolerated_lose_nothing() {
+    for seed in [81_000_021, 81_000_034, 81_000_051, 81_000_093, 81_000_130, 81_000_597] {
+        let report = one(seed, NONE, None);
+        assert!(report.violations.is_empty(), "seed {seed}: {:#?}", report.violations);
+        assert!(report.acknowledged > 0, "seed {seed} proves nothing: {report:?}");
+    }
+}
+
 #[test]
 fn a_storm_brings_thousands_of_changes() {
     let report = one(1, NONE, None);
--- a/crates/simulator/tests/sim.rs
+++ b/crates/simulator/tests/sim.rs
@@ -80,7 +80,8 @@
 /// Spares that come and fall, whoever promotes stopped midway, leads lost in a row. The first read stale data once.
 #[test]
 fn orders_outlive_faults_close_to_changes_of_hands() {
-    for seed in 5_000_009..5_000_018 {
+    // The last four once rejected lookups while all replicas of a group were ejected, or lost a server after healing.
+    for seed in (5_000_009..5_000_018).chain([9_300_131, 9_300_154, 312_000_117, 312_001_441]) {
         let (bug, groups) = (None, groups(seed));
         let s = SimOptions {
             seed,
--- a/crates/store/tests/metrics.rs
+++ b/crates/store/tests/metrics.rs
@@ -27,7 +27,7 @@
 }
 
 #[test]
-fn a_members_metrics_tell_its_place_its_progress_and_its_leases() {
+fn a_members_metrics_report_its_place_its_progress_and_its_leases() {
     let text = render(keeper_metrics(&status_of("k2")));
     for line in [
         "quincehatch_view_version 7.0",
@@ -39,7 +39,7 @@
         "quincehatch_lease_shortest_seconds 2.5",
         "quincehatch_lease_oldest_change 27.0",
     ] {
-        assert!(text.lines().any(|told| told == line), "{line} in {text}");
+        assert!(text.lines().any(|found| found == line), "{line} in {text}");
     }
 }
 
