--- a/crates/store/src/feed/entry_events.rs
+++ b/crates/store/src/feed/entry_events.rs
@@ -2,7 +2,7 @@
 use crate::command::{Answer, Command, Entry};
 use crate::feed::{FeedEvent, Patch};
 use crate::store::{Store, promotion_duty_key};
-use quincehatch_core::{Name, PrimaryAssignment, ServerRecord};
+use quincehatch_core::{Name, PrimaryAssignment};
 use std::collections::BTreeMap;
 
 /// An entry that was applied.
@@ -61,16 +61,16 @@
     /// The assignments that a change of servers may touch: those of the groups of a server that comes or goes, and of
     /// the servers that lose their address to it.
     fn primaries_touched_by(&self, command: &Command) -> BTreeMap<Name, PrimaryAssignment> {
-        let is_touched = |known: &&ServerRecord| match command {
-            Command::RegisterServer { at: record } => known.addr == record.addr,
-            Command::DeregisterServer { server } => known.server == *server,
-            _ => false,
-        };
-        let mut groups: Vec<&Name> = match command {
-            Command::RegisterServer { at: record } => vec![&record.group],
-            _ => Vec::new(),
+        let groups: Vec<&Name> = match command {
+            Command::RegisterServer { at: record } => {
+                let at_its_address = self.servers.values().filter(|known| known.addr == record.addr);
+                at_its_address.map(|known| &known.group).chain([&record.group]).collect()
+            }
+            Command::DeregisterServer { server } => {
+                self.servers.get(server).map(|known| &known.group).into_iter().collect()
+            }
+            _ => return BTreeMap::new(),
         };
-        groups.extend(self.servers.values().filter(is_touched).map(|known| &known.group));
         let primaries = groups.into_iter().filter_map(|group| self.primaries.get_key_value(group));
         primaries.map(|(group, primary)| (group.clone(), primary.clone())).collect()
     }
