--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -62,8 +62,8 @@
 
 /// The calls of this process to others of the project, by kind.
 pub fn call_metrics() -> Vec<Metric> {
+    let counts = call_counts();
     let sample = |metric: Metric, pick: fn(&CallCounts) -> u64| {
-        let counts = call_counts();
         counts
             .iter()
             .fold(metric, |metric, (kind, counts)| metric.with_label("kind", kind, pick(counts) as f64))
