--- a/crates/proxy/tests/direct_connections.rs
+++ b/crates/proxy/tests/direct_connections.rs
@@ -85,3 +85,27 @@
         assert_eq!(server.direct_pool.checked_out(), 0);
     }
 }
+
+/// Users saw a fleet of 300 nodes serve too little: of three connections that each node could hold to a server it kept
+/// none for longer than 750 ms, so each of a client's requests opened one, which took more of the server's slots than
+/// the request itself (249,000 connections for 256,000 requests). Busy servers then rejected the rest.
+#[tokio::test]
+async fn an_idle_connection_serves_the_next_request_when_each_node_may_hold_a_few() {
+    let fixture = Fixture::new();
+    const NODES: usize = 6;
+    fixture.direct.live_nodes.store(NODES, Ordering::SeqCst);
+    assert_eq!(fixture.direct.connection_share("g1").even, 3);
+    let trimming = tokio::spawn(fixture.direct.clone().trim_idle_connections(|| NODES));
+    let mut session = fixture.session("orders").await;
+    for _ in 0..2 {
+        let response = execute(&mut session, read("x")).await;
+        assert!(response.result.is_ok(), "{response:?}");
+        seam::sleep(Duration::from_millis(1_600)).await;
+    }
+    trimming.abort();
+    let opened: usize = ["s1", "s2", "s3"]
+        .map(|name| fixture.group.with_server(name, |server| server.connections_opened))
+        .into_iter()
+        .sum();
+    assert_eq!(opened, 1);
+}
--- a/crates/proxy/tests/fake_servers/mod.rs
+++ b/crates/proxy/tests/fake_servers/mod.rs
@@ -45,6 +45,8 @@
     pub faults: VecDeque<Fault>,
     /// Connections that the server rejects, as it has as many as it takes.
     pub connections_to_reject: usize,
+    /// Connections that were opened.
+    pub connections_opened: usize,
 }
 
 /// The servers, and what the group has committed.
@@ -81,6 +83,7 @@
             let full = group.with_server(&server, |server| {
                 let full = server.connections_to_reject > 0;
                 server.connections_to_reject -= usize::from(full);
+                server.connections_opened += usize::from(!full);
                 full
             });
             if full {
--- /dev/null
+++ b/crates/store/tests/large_fleet.rs
@@ -0,0 +1,164 @@
+//! What a fleet of hundreds of nodes costs the tail of the chain.
+//!
+//! Users saw a fleet of 300 nodes leave configurations unconfirmed for as long as it started, and after a loss of
+//! power. Each change of the store woke all nodes' polls, and each node polled again at once: 300 nodes and 360 servers
+//! that come together make some 900 changes, so 270,000 answers, and the tail's own part in the chain waited behind
+//! them.
+mod cluster;
+
+use cluster::Cluster;
+use quincehatch_core::{ChangeNumber, Millis, Name, PrimaryAssignment, Role, ServerRecord};
+use quincehatch_store::{Command, Reply, Request};
+use std::collections::BTreeMap;
+
+const NODES: usize = 300;
+/// Time between a reply and the next poll of the node.
+const POLL_PAUSE: Millis = 20;
+/// Tokens of polls; those of writes are below.
+const FIRST_POLL: u64 = 1_000_000;
+/// Polls that the tail answers in a second, whatever happens.
+const MAX_ANSWERS_PER_SECOND: usize = 3_000;
+
+/// What a node has applied, and the entry that enrolled it.
+struct Follower {
+    enrolled: ChangeNumber,
+    last_change: ChangeNumber,
+}
+
+struct Fleet {
+    cluster: Cluster,
+    followers: BTreeMap<Name, Follower>,
+    /// Which node sent the poll of that token.
+    polls: BTreeMap<u64, Name>,
+    next_poll: u64,
+    next_write: u64,
+    /// Answers to polls.
+    answers: usize,
+}
+
+impl Fleet {
+    /// A chain that serves, and the nodes enrolled; they have not polled yet.
+    fn new() -> Self {
+        let mut cluster = Cluster::new(&["a", "b", "c"]);
+        cluster.run_for(8_000);
+        let mut fleet = Self {
+            cluster,
+            followers: BTreeMap::new(),
+            polls: BTreeMap::new(),
+            next_poll: FIRST_POLL,
+            next_write: 1,
+            answers: 0,
+        };
+        let first = fleet.last_change() + 1;
+        for number in first..first + NODES as u64 {
+            let node = Name::from(format!("n{number}"));
+            fleet.write(Command::EnrollNode { node: node.clone(), incarnation: number });
+            fleet.followers.insert(node, Follower { enrolled: number, last_change: 0 });
+        }
+        fleet.cluster.run_for(200);
+        fleet
+    }
+
+    fn last_change(&self) -> ChangeNumber {
+        self.cluster.keepers["a"].store.last_change
+    }
+
+    fn write(&mut self, command: Command) -> u64 {
+        let token = self.next_write;
+        self.next_write += 1;
+        let head = self.cluster.head().expect("a chain that serves");
+        self.cluster.request(&head, token, Request::Write { key: format!("k{token}").into(), command });
+        token
+    }
+
+    fn register_server(&mut self, number: u64) {
+        let record = ServerRecord {
+            server: format!("s{number}").into(),
+            group: format!("g{}", number / 3).into(),
+            addr: format!("10.0.0.1:{number}").into(),
+            zone: "z".into(),
+            slots: 4,
+            draining: false,
+            role: Role::Replica,
+            seq: 1,
+        };
+        self.write(Command::RegisterServer { at: record });
+    }
+
+    fn poll_of(&mut self, node: &Name) {
+        let Follower { enrolled, last_change } = self.followers[node];
+        self.polls.insert(self.next_poll, node.clone());
+        self.cluster.poll(node, self.next_poll, enrolled, last_change);
+        self.next_poll += 1;
+    }
+
+    fn poll_of_all(&mut self) {
+        let nodes: Vec<Name> = self.followers.keys().cloned().collect();
+        nodes.iter().for_each(|node| self.poll_of(node));
+    }
+
+    /// Lets time pass; each node polls again when it was answered.
+    fn run_for(&mut self, time: Millis) {
+        let end = self.cluster.now + time;
+        while self.cluster.now < end {
+            self.cluster.run_for(POLL_PAUSE);
+            for sent in std::mem::take(&mut self.cluster.replies) {
+                self.take_reply(sent.token, sent.reply);
+            }
+        }
+    }
+
+    fn take_reply(&mut self, token: u64, reply: Reply) {
+        let Some(node) = self.polls.remove(&token) else {
+            self.cluster.replies.push(cluster::SentReply { token, reply });
+            return;
+        };
+        self.answers += 1;
+        let follower = self.followers.get_mut(&node).unwrap();
+        match reply {
+            Reply::Changes { changes, .. } => {
+                follower.last_change = changes.last().map_or(follower.last_change, |change| change.number);
+            }
+            Reply::Snapshot { snapshot, .. } => follower.last_change = snapshot.last_change,
+            other => panic!("{other:?}"),
+        }
+        self.poll_of(&node);
+    }
+}
+
+#[test]
+fn the_tail_answers_a_bounded_number_of_polls_while_many_servers_register() {
+    let mut fleet = Fleet::new();
+    fleet.poll_of_all();
+    fleet.run_for(1_000);
+    fleet.answers = 0;
+    const SECONDS: usize = 4;
+    for number in 0..SECONDS as u64 * 1_000 / POLL_PAUSE {
+        fleet.register_server(number);
+        fleet.run_for(POLL_PAUSE);
+    }
+    assert!(fleet.answers <= SECONDS * MAX_ANSWERS_PER_SECOND, "{} answers", fleet.answers);
+    // Nobody was left behind for it.
+    fleet.run_for(1_000);
+    let last_change = fleet.last_change();
+    let behind = fleet.followers.values().filter(|follower| follower.last_change < last_change).count();
+    assert_eq!(behind, 0);
+}
+
+#[test]
+fn a_primary_is_closed_at_all_nodes_within_a_second_while_many_servers_register() {
+    let mut fleet = Fleet::new();
+    fleet.poll_of_all();
+    fleet.run_for(1_000);
+    let mut closed = None;
+    for number in 0..100 {
+        fleet.register_server(number);
+        if number == 50 {
+            let no_primary = PrimaryAssignment { fence: 1, ..Default::default() };
+            closed = Some(fleet.write(Command::AssignPrimary { group: "g".into(), primary: no_primary }));
+        }
+        fleet.run_for(POLL_PAUSE);
+    }
+    let reply = closed.and_then(|token| fleet.cluster.reply_to(token));
+    assert!(matches!(reply, Some(Reply::Answer { .. })), "{reply:?}");
+}
