Member records are told at the rate of their backlog, and compared by digest

Cause: a message carried twelve records whatever was left to tell, so 300 nodes that start together knew each other after 15 s or more, and dissemination leaves some member out by chance the likelier the more there are. Until then nodes disagree on who owns a promotion duty. Change: a quarter of the backlog in a message, 12 to 64 records; each second a node compares digests of 16 ranges of names with one member, and both send what differs.

--- a/crates/capacity/src/frame_counts/kinds.rs
+++ b/crates/capacity/src/frame_counts/kinds.rs
@@ -134,7 +134,10 @@
         GossipMessage::Ping { .. } | GossipMessage::Pong { .. } | GossipMessage::PingFor { .. } => {
             FrameKind::GossipProbe
         }
-        GossipMessage::Shuffle { .. } | GossipMessage::Shuffled { .. } => FrameKind::GossipView,
+        GossipMessage::Shuffle { .. }
+        | GossipMessage::Shuffled { .. }
+        | GossipMessage::CompareMembers { .. }
+        | GossipMessage::ComparedMembers { .. } => FrameKind::GossipView,
         GossipMessage::Heartbeats { .. } => FrameKind::GossipHeartbeat,
     }
 }
--- a/crates/gossip/src/kinds.rs
+++ b/crates/gossip/src/kinds.rs
@@ -11,6 +11,8 @@
             GossipMessage::Shuffle { .. } => "shuffle",
             GossipMessage::Shuffled { .. } => "shuffled",
             GossipMessage::Heartbeats { .. } => "heartbeats",
+            GossipMessage::CompareMembers { .. } => "compare_members",
+            GossipMessage::ComparedMembers { .. } => "compared_members",
         }
     }
 }
--- a/crates/gossip/src/membership/dissemination.rs
+++ b/crates/gossip/src/membership/dissemination.rs
@@ -5,8 +5,12 @@
 
 /// Messages that carry a record after it changed.
 const RECORD_TRANSMISSIONS: u32 = 6;
-/// Records in one message at most.
-const MAX_RECORDS_PER_MESSAGE: usize = 12;
+/// Records in one message, where there are so many to tell.
+const MIN_RECORDS_PER_MESSAGE: usize = 12;
+/// Records in one message at most: some four kilobytes.
+const MAX_RECORDS_PER_MESSAGE: usize = 64;
+/// A message carries this part of the records that are left to tell.
+const BACKLOG_DIVISOR: usize = 4;
 /// Messages that carry a heartbeat.
 const HEARTBEAT_TRANSMISSIONS: u32 = 3;
 /// Heartbeats in one message at most.
@@ -16,13 +20,20 @@
 /// The number of a ping whose answer nobody waits for.
 const NO_PROBE: u64 = 0;
 
+/// How many of the records that are left to tell one message carries. A part of the backlog and not a constant: the time
+/// until all are told must not grow with the number of members, as nodes that do not know the same members disagree on
+/// who owns a key.
+fn records_per_message(backlog: usize) -> usize {
+    (backlog / BACKLOG_DIVISOR).clamp(MIN_RECORDS_PER_MESSAGE, MAX_RECORDS_PER_MESSAGE)
+}
+
 impl GossipMembership {
     /// Sends a message with the records that were sent least often since they changed.
     pub(super) fn send(&mut self, to: &Name, message: GossipMessage) {
         let mut fresh: Vec<_> =
             self.members.values_mut().filter(|member| member.times_sent < RECORD_TRANSMISSIONS).collect();
         fresh.sort_by_key(|member| member.times_sent);
-        fresh.truncate(MAX_RECORDS_PER_MESSAGE);
+        fresh.truncate(records_per_message(fresh.len()));
         let mut records = Vec::with_capacity(fresh.len());
         for member in fresh {
             member.times_sent += 1;
@@ -31,6 +42,11 @@
         self.send_with_records(to, message, records);
     }
 
+    /// Sends a ping that carries these records; its answer is not waited for.
+    pub(super) fn send_only(&mut self, to: &Name, records: Vec<MemberRecord>) {
+        self.send_with_records(to, GossipMessage::Ping { seq: NO_PROBE }, records);
+    }
+
     fn send_with_records(&mut self, to: &Name, message: GossipMessage, records: Vec<MemberRecord>) {
         self.messages_sent += 1;
         let envelope = GossipEnvelope { from: self.local.clone(), records, message };
@@ -55,7 +71,7 @@
             .collect();
         if let Some(record) = self.rng.pick(&dead).cloned() {
             let addr = record.addr.clone();
-            self.send_with_records(&addr, GossipMessage::Ping { seq: NO_PROBE }, vec![record]);
+            self.send_only(&addr, vec![record]);
         }
     }
 
--- a/crates/gossip/src/membership/events.rs
+++ b/crates/gossip/src/membership/events.rs
@@ -9,6 +9,8 @@
 const PROBE_INTERVAL: Millis = 250;
 /// Time between two exchanges of views.
 const SHUFFLE_INTERVAL: Millis = 1_000;
+/// Time between two comparisons of the member records with another member.
+const COMPARISON_INTERVAL: Millis = 1_000;
 /// Time between two messages with heartbeats.
 const HEARTBEAT_INTERVAL: Millis = 200;
 
@@ -29,6 +31,10 @@
             }
             GossipMessage::Shuffle { peers } => self.answer_shuffle(now, &from.addr, peers),
             GossipMessage::Shuffled { peers } => self.merge_view(now, peers),
+            GossipMessage::CompareMembers { digests } => self.answer_comparison(&from.addr, &digests),
+            GossipMessage::ComparedMembers { digests } => {
+                self.send_differing_ranges(&from.addr, &digests);
+            }
             GossipMessage::Heartbeats { heartbeats } => {
                 self.actions.push(GossipAction::Heartbeats(heartbeats));
             }
@@ -48,6 +54,10 @@
             self.shuffle();
             self.ping_dead_member();
         }
+        if now >= self.schedule.comparison_at {
+            self.schedule.comparison_at = now + COMPARISON_INTERVAL;
+            self.compare_members();
+        }
         if now >= self.schedule.heartbeats_at {
             self.schedule.heartbeats_at = now + HEARTBEAT_INTERVAL;
             self.send_heartbeats();
--- a/crates/gossip/src/membership/records.rs
+++ b/crates/gossip/src/membership/records.rs
@@ -78,3 +78,11 @@
         self.actions.push(GossipAction::StatusChanged(name.clone(), status));
     }
 }
+
+impl MemberStatus {
+    /// Whether a member with this status counts as live. A suspect does, so that ownership does not move on the first
+    /// lost message.
+    pub fn is_live(self) -> bool {
+        self <= MemberStatus::Suspect
+    }
+}
--- a/crates/gossip/src/membership/state.rs
+++ b/crates/gossip/src/membership/state.rs
@@ -73,6 +73,7 @@
 pub(super) struct Schedule {
     pub probe_at: Millis,
     pub shuffle_at: Millis,
+    pub comparison_at: Millis,
     pub heartbeats_at: Millis,
 }
 
@@ -114,7 +115,7 @@
             relays: BTreeMap::new(),
             // At random, so that an answer to a probe of an earlier incarnation matches none of this one.
             last_seq: seed >> 1,
-            schedule: Schedule { probe_at: now, shuffle_at: now, heartbeats_at: now },
+            schedule: Schedule { probe_at: now, shuffle_at: now, comparison_at: now, heartbeats_at: now },
             heartbeats: BTreeMap::new(),
             actions: Vec::new(),
         };
--- a/crates/gossip/src/messages.rs
+++ b/crates/gossip/src/messages.rs
@@ -70,6 +70,16 @@
         Heartbeats {
             /// The heartbeats.
             heartbeats: Vec<ServerHeartbeat>
+        },
+        /// Asks for member records where the receiver knows others than the sender.
+        CompareMembers {
+            /// A digest of the live members in each range of names.
+            digests: Vec<u64>
+        },
+        /// The answer to a `CompareMembers` whose digests differed; the records that differ were sent before it.
+        ComparedMembers {
+            /// The answering node's digests.
+            digests: Vec<u64>
         }
     }
 
@@ -231,11 +241,3 @@
         }
     }
 }
-
-impl MemberStatus {
-    /// Whether a member with this status counts as live. A suspect does, so that ownership does not move on the first
-    /// lost message.
-    pub fn is_live(self) -> bool {
-        self <= MemberStatus::Suspect
-    }
-}
