Metrics: polls waiting and answered at a keeper, connections opened to servers by result

Cause: neither logs nor metrics told whether a tail drowns in polls, or how often a node opens a connection and finds a server full (hypotheses 1 and 4 of docs/incidents/large-fleet.md); 2 and 3 are told by nodes_live and by the calls by kind. Conclusion: what the mends change can be read off each role.

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -49,6 +49,7 @@
         };
         statements = statements.with_label("result", &result, count as f64);
     }
+    let opens = direct.open_counts.totals();
     let open = direct.open_sessions.load(Ordering::Relaxed) as f64;
     vec![
         Metric::gauge("sessions_open", "Open direct sessions").with(open),
@@ -57,6 +58,10 @@
         Metric::gauge("retries_left", "Retries that are left in the budget")
             .with(node.proxy.retry_budget.left() as f64),
         statements,
+        Metric::counter("server_connections", "Attempts to open connections to servers by how they ended")
+            .with_label("result", "opened", opens.opened as f64)
+            .with_label("result", "full", opens.full as f64)
+            .with_label("result", "failed", opens.failed as f64),
     ]
 }
 
--- a/crates/proxy/src/direct/check_out.rs
+++ b/crates/proxy/src/direct/check_out.rs
@@ -109,6 +109,7 @@
     match seam::timeout(Duration::from_millis(OPEN_TIMEOUT), opening).await {
         Ok(Ok(Ok(opened))) => {
             server.note_answer(asked_at);
+            direct.open_counts.record_opened();
             Ok(Connection::new(opened.connection))
         }
         Ok(Ok(Err(rejection))) => Err(note_rejection(direct, server, asked_at, rejection.reason)),
@@ -117,6 +118,7 @@
             Err(CheckoutError::Broke)
         }
         Err(_) => {
+            direct.open_counts.record_failed();
             server.note_failure(asked_at, false);
             add_evidence(direct, server, HealthSignal::Unresponsive);
             Err(CheckoutError::Broke)
@@ -133,6 +135,7 @@
 ) -> CheckoutError {
     match reason {
         RejectReason::TooManyConnections => {
+            direct.open_counts.record_full();
             let backoff = FULL_BACKOFF + fastrand::u64(0..FULL_BACKOFF);
             server.direct_pool.note_full(now() + backoff);
             CheckoutError::Full
@@ -148,6 +151,7 @@
 }
 
 fn note_open_error(direct: &DirectProxy, server: &ServerEntry, asked_at: Millis, error: &io::Error) {
+    direct.open_counts.record_failed();
     server.note_failure(asked_at, error.kind() == io::ErrorKind::ConnectionRefused);
     let health_settings = direct.proxy.health_settings();
     let end = classify_end(error, server.connection_usage(true));
--- a/crates/proxy/src/direct/mod.rs
+++ b/crates/proxy/src/direct/mod.rs
@@ -11,6 +11,7 @@
 pub mod connection;
 mod connection_setup;
 mod monitored_call;
+mod open_counts;
 pub mod pool;
 mod primary_statement;
 mod proxy;
@@ -29,6 +30,7 @@
 mod transaction;
 
 pub use command::{SessionCommand, SessionRequest};
+pub use open_counts::{OpenCounts, OpenTotals};
 pub use proxy::{ConnectionShare, DirectProxy};
 pub use response::{StatementError, StatementResponse, StatementResult};
 pub use route::ResolvedRoute;
--- a/crates/proxy/src/direct/proxy.rs
+++ b/crates/proxy/src/direct/proxy.rs
@@ -1,4 +1,5 @@
 //! What all direct sessions of a proxy share.
+use super::open_counts::OpenCounts;
 use super::route::ResolvedRoute;
 use super::statement_counts::StatementCounts;
 use crate::Proxy;
@@ -37,6 +38,8 @@
     pub open_sessions: AtomicUsize,
     /// How statements ended.
     pub statement_counts: StatementCounts,
+    /// How attempts to open connections ended.
+    pub open_counts: OpenCounts,
     prepared_names: Mutex<HashMap<PreparedKey, Name>>,
 }
 
@@ -65,6 +68,7 @@
             live_nodes: AtomicUsize::new(1),
             open_sessions: AtomicUsize::new(0),
             statement_counts: StatementCounts::default(),
+            open_counts: OpenCounts::default(),
             prepared_names: Mutex::default(),
         })
     }
--- a/crates/store/src/keeper.rs
+++ b/crates/store/src/keeper.rs
@@ -85,6 +85,8 @@
     commit_times: CommitTimes,
     pending_writes: Vec<PendingWrite>,
     pending_polls: Vec<PendingPoll>,
+    /// Polls answered since the process began, for operators.
+    answered_polls: u64,
 
     // Views.
     acceptor: Acceptor,
@@ -153,6 +155,7 @@
             commit_times: CommitTimes::default(),
             pending_writes: Vec::new(),
             pending_polls: Vec::new(),
+            answered_polls: 0,
             acceptor: recovered.acceptor,
             proposer,
             previous_view: None,
--- a/crates/store/src/keeper/requests/polls.rs
+++ b/crates/store/src/keeper/requests/polls.rs
@@ -29,6 +29,7 @@
         let applied = last_change.min(self.store.last_change);
         let lease_ms = self.node_leases().grant(now, &node, &addr, applied);
         if last_change != self.store.last_change {
+            self.answered_polls += 1;
             return Some(self.changes_since(last_change, lease_ms));
         }
         // One poll per node: a new one takes the place of an older one, which is answered now.
@@ -59,6 +60,7 @@
                 true => self.changes_since(poll.last_change, NODE_LEASE),
                 false => self.redirect(),
             };
+            self.answered_polls += 1;
             self.outputs.push(Output::Reply(poll.token, reply));
         }
     }
--- a/crates/store/src/keeper/status.rs
+++ b/crates/store/src/keeper/status.rs
@@ -1,6 +1,6 @@
 //! A keeper's report about itself, for operators.
 use super::Keeper;
-use crate::messages::{KeeperStatus, LogSize};
+use crate::messages::{KeeperStatus, LogSize, PollCounts};
 
 impl Keeper {
     /// The keeper's place in the chain, what it holds, and why it does or does not serve.
@@ -18,6 +18,7 @@
             leases: leases.unwrap_or_default(),
             disk: self.disk_usage,
             log: LogSize { entries: self.log.len() as u64, bytes: self.log.bytes() as u64 },
+            polls: PollCounts { waiting: self.pending_polls.len() as u64, answered: self.answered_polls },
         }
     }
 
--- a/crates/store/src/messages.rs
+++ b/crates/store/src/messages.rs
@@ -7,4 +7,4 @@
 
 pub use client::{KeeperRequest, KeeperResponse, Reply, Request};
 pub use peer::{AcceptedView, DismissedLease, PeerMessage};
-pub use status::{KeeperStatus, LeaseStatus, LogSize};
+pub use status::{KeeperStatus, LeaseStatus, LogSize, PollCounts};
--- a/crates/store/src/messages/status.rs
+++ b/crates/store/src/messages/status.rs
@@ -28,7 +28,18 @@
         /// The size of its data directory.
         pub disk: DiskUsage,
         /// The size of its log in memory.
-        pub log: LogSize
+        pub log: LogSize,
+        /// Nodes' polls at this keeper.
+        pub polls: PollCounts
+    }
+
+    /// Nodes' polls for changes at a keeper.
+    #[derive(Copy, Eq, Default)]
+    pub struct PollCounts {
+        /// Polls that wait for a change.
+        pub waiting: u64,
+        /// Polls answered since the process began.
+        pub answered: u64
     }
 
     /// Entries kept in memory for members that lag behind.
--- a/crates/store/src/metrics.rs
+++ b/crates/store/src/metrics.rs
@@ -1,5 +1,5 @@
 //! The metrics of a keeper, read off its status (docs/operate.md has a table of them).
-use crate::messages::{KeeperStatus, LeaseStatus};
+use crate::messages::{KeeperStatus, LeaseStatus, PollCounts};
 use quincehatch_metrics::Metric;
 
 const MS_PER_SECOND: f64 = 1_000.0;
@@ -9,6 +9,7 @@
     let mut metrics = place_in_the_chain(status);
     metrics.extend(progress(status));
     metrics.extend(leases(&status.leases));
+    metrics.extend(polls(status.polls));
     metrics.push(
         Metric::gauge("disk_bytes", "Size of the data folder")
             .with_label("what", "used", status.disk.used as f64)
@@ -46,6 +47,13 @@
     ]
 }
 
+fn polls(polls: PollCounts) -> Vec<Metric> {
+    vec![
+        Metric::gauge("polls_waiting", "Polls of nodes that wait for a change").with(polls.waiting as f64),
+        Metric::counter("polls_answered", "Polls of nodes that were answered").with(polls.answered as f64),
+    ]
+}
+
 fn leases(leases: &[LeaseStatus]) -> Vec<Metric> {
     let shortest = leases.iter().map(|lease| lease.remaining_ms).min().unwrap_or_default();
     let oldest_applied = leases.iter().map(|lease| lease.applied).min().unwrap_or_default();
--- a/crates/store/tests/metrics.rs
+++ b/crates/store/tests/metrics.rs
@@ -1,7 +1,7 @@
 //! What a keeper's status says, as metrics.
 use quincehatch_core::Name;
 use quincehatch_metrics::render;
-use quincehatch_store::messages::{KeeperStatus, LeaseStatus};
+use quincehatch_store::messages::{KeeperStatus, LeaseStatus, PollCounts};
 use quincehatch_store::metrics::keeper_metrics;
 use quincehatch_store::{View, Voter};
 
@@ -21,6 +21,7 @@
         committed: 29,
         in_force: 28,
         serving: true,
+        polls: PollCounts { waiting: 2, answered: 40 },
         leases: vec![lease("n1", 2_500, 28), lease("n2", 3_000, 27)],
         ..KeeperStatus::default()
     }
@@ -38,6 +39,8 @@
         "quincehatch_change_in_force 28.0",
         "quincehatch_lease_shortest_seconds 2.5",
         "quincehatch_lease_oldest_change 27.0",
+        "quincehatch_polls_waiting 2.0",
+        "quincehatch_polls_answered_total 40.0",
     ] {
         assert!(text.lines().any(|found| found == line), "{line} in {text}");
     }
