The tail pays for its answers to polls; peers and writes overtake polls

Cause: each change of the store answered the polls of all nodes, and each polled again at once; what a keeper owes its peers waited in the same queue. In a fleet of 300 a keeper that became the tail was flooded, counted as lost after 800 ms, and the next one became the tail. Small fleets (up to 100 nodes) wait as before; no argument of leases changes: a lease is renewed only with all changes that were committed when the poll was answered.

--- a/crates/node/src/feed/follower.rs
+++ b/crates/node/src/feed/follower.rs
@@ -4,19 +4,25 @@
 use crate::node::Node;
 use quincehatch_core::{ChangeNumber, Millis, Name, ServerRecord};
 use quincehatch_runtime::{now, seam};
-use quincehatch_store::timing::minus_clock_drift;
+use quincehatch_store::timing::{feed_poll_wait, minus_clock_drift};
 use quincehatch_store::{Change, FeedSnapshot, FeedState, Reply, Request};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-/// A poll not answered by then is sent elsewhere.
-const POLL_TIMEOUT: Duration = Duration::from_millis(600);
+/// A poll that was not answered so long after the tail's own limit is sent elsewhere, in milliseconds.
+const POLL_GRACE_MS: u64 = 400;
+/// The longest time that a poll is given, in milliseconds. One that is not answered in time may have been answered with a
+/// snapshot that is still on its way, so the next one at the same tail gets twice the time.
+const MAX_POLL_MS: u64 = 3_000;
+const MAX_DOUBLINGS: u32 = 3;
 /// The least time between two polls that brought no change, from send to send; the tail holds each until there is one.
 const POLL_INTERVAL_MS: u64 = 20;
 /// The same after a poll that was not answered with a lease.
 const RETRY_INTERVAL_MS: u64 = 60;
+/// Nodes that try again each 60 ms do not hinder the keepers; where there are more, each tries less often.
+const NODES_PER_RETRY_INTERVAL: u64 = 60;
 /// The least pause after such a poll.
 const MIN_PAUSE_MS: u64 = 5;
 
@@ -40,6 +46,8 @@
     enrollment: ChangeNumber,
     enroll_attempts: u64,
     had_lease: bool,
+    /// Polls at this tail that were not answered in time, one after the other.
+    unanswered_polls: u32,
     /// Records of direct servers as they were last put into the registry.
     published_servers: BTreeMap<Name, ServerRecord>,
 }
@@ -52,6 +60,7 @@
             enrollment: 0,
             enroll_attempts: 0,
             had_lease: false,
+            unanswered_polls: 0,
             published_servers: BTreeMap::new(),
         }
     }
@@ -66,6 +75,18 @@
         self.node.enrollment.store(self.enrollment, Ordering::SeqCst);
     }
 
+    /// Nodes that poll the tail, as far as this one knows.
+    fn enrolled_nodes(&self) -> usize {
+        self.node.feed_state.lock().unwrap().nodes.len()
+    }
+
+    /// Only a node that has no state yet waits for a snapshot; any other wants to learn soon that its tail is gone.
+    fn poll_timeout_ms(&self) -> u64 {
+        let timeout_ms = feed_poll_wait(self.enrolled_nodes()) + POLL_GRACE_MS;
+        let doublings = if self.last_change() == 0 { self.unanswered_polls } else { 0 };
+        timeout_ms.saturating_mul(1 << doublings.min(MAX_DOUBLINGS)).min(MAX_POLL_MS)
+    }
+
     fn last_change(&self) -> ChangeNumber {
         self.node.feed_state.lock().unwrap().last_change
     }
@@ -75,7 +96,10 @@
         let before = self.last_change();
         // The lease counts from before the poll was sent.
         let sent_at = now();
-        let reply = self.node.store_client.call(&self.tail, request, POLL_TIMEOUT).await;
+        let timeout = Duration::from_millis(self.poll_timeout_ms());
+        let polled = self.tail.clone();
+        let reply = self.node.store_client.call(&self.tail, request, timeout).await;
+        self.unanswered_polls = if reply.is_err() { self.unanswered_polls + 1 } else { 0 };
         let lease_ms = match reply {
             Ok(Reply::Changes { changes, lease_ms }) => self.apply_changes(&changes).then_some(lease_ms),
             Ok(Reply::Snapshot { snapshot, lease_ms }) => self.apply_snapshot(*snapshot).then_some(lease_ms),
@@ -94,6 +118,9 @@
                 None
             }
         };
+        if self.tail != polled {
+            self.unanswered_polls = 0;
+        }
         // What is applied is in the registry before the next poll says that it is.
         if self.last_change() > before {
             publish(&self.node, &mut self.published_servers);
@@ -152,8 +179,14 @@
         }
     }
 
+    /// With a random part in large fleets, whose nodes lose the same tail at the same moment.
+    fn retry_interval_ms(&self) -> u64 {
+        let crowd = self.enrolled_nodes() as u64 / NODES_PER_RETRY_INTERVAL;
+        RETRY_INTERVAL_MS + fastrand::u64(0..=RETRY_INTERVAL_MS * crowd)
+    }
+
     async fn pause(&self, sent_at: Millis, answered: bool) {
-        let interval_ms = if answered { POLL_INTERVAL_MS } else { RETRY_INTERVAL_MS };
+        let interval_ms = if answered { POLL_INTERVAL_MS } else { self.retry_interval_ms() };
         let pause_ms = (sent_at + interval_ms).saturating_sub(now()).max(MIN_PAUSE_MS);
         seam::sleep(Duration::from_millis(pause_ms)).await;
     }
--- a/crates/node/src/store_client.rs
+++ b/crates/node/src/store_client.rs
@@ -48,7 +48,9 @@
     pub async fn call(&self, addr: &str, request: Request, within: Duration) -> Result<Reply, Error> {
         let name = self.name_at(addr);
         let destination = match &name {
-            Some(name) if !matches!(request, Request::Status) => Destination::process(name, addr),
+            Some(name) if !matches!(request, Request::Status | Request::CurrentView) => {
+                Destination::process(name, addr)
+            }
             // Who is there, and which view it knows, is what is asked.
             _ => Destination::address(addr),
         };
--- a/crates/node/src/store_client/view.rs
+++ b/crates/node/src/store_client/view.rs
@@ -54,8 +54,8 @@
 
     /// Asks one keeper for its view.
     pub async fn refresh_view_from(&self, addr: &str) {
-        if let Ok(Reply::Status { status }) = self.call(addr, Request::Status, VIEW_TIMEOUT).await {
-            self.learn_view(status.view);
+        if let Ok(Reply::Redirect { view }) = self.call(addr, Request::CurrentView, VIEW_TIMEOUT).await {
+            self.learn_view(view);
         }
     }
 
--- a/crates/simulator/src/control/call_kind.rs
+++ b/crates/simulator/src/control/call_kind.rs
@@ -5,6 +5,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallKind {
     Status,
+    View,
     Machines,
     Write,
     Read,
@@ -16,6 +17,7 @@
     pub fn from_request(ask: &Request) -> CallKind {
         match ask {
             Request::Status => CallKind::Status,
+            Request::CurrentView => CallKind::View,
             Request::ChangeVoters { .. } => CallKind::Machines,
             Request::Write { .. } => CallKind::Write,
             Request::ReadStore => CallKind::Read,
--- a/crates/store/src/driver.rs
+++ b/crates/store/src/driver.rs
@@ -114,7 +114,7 @@
     /// Admits what has arrived meanwhile, so that one sync of the disk serves all of it.
     fn admit_queued(&mut self, incoming: &mut IncomingQueue, batch: &mut Batch) {
         for _ in 0..STEPS_PER_SYNC {
-            let Ok(message) = incoming.try_recv() else { break };
+            let Some(message) = incoming.try_recv() else { break };
             self.admit(message, batch);
         }
     }
--- a/crates/store/src/keeper.rs
+++ b/crates/store/src/keeper.rs
@@ -34,7 +34,7 @@
 use quincehatch_core::{ChangeNumber, Millis, Name, Version, hash64};
 use quincehatch_runtime::seam;
 use recent_changes::RecentChanges;
-use requests::{CommitTimes, PendingPoll, PendingWrite};
+use requests::{CommitTimes, PendingWrite, Polls};
 use std::collections::BTreeMap;
 use view_lease::ViewLease;
 
@@ -84,9 +84,7 @@
     packed_configuration: Option<PackedConfiguration>,
     commit_times: CommitTimes,
     pending_writes: Vec<PendingWrite>,
-    pending_polls: Vec<PendingPoll>,
-    /// Polls answered since the process began, for operators.
-    answered_polls: u64,
+    polls: Polls,
 
     // Views.
     acceptor: Acceptor,
@@ -154,8 +152,7 @@
             packed_configuration: None,
             commit_times: CommitTimes::default(),
             pending_writes: Vec::new(),
-            pending_polls: Vec::new(),
-            answered_polls: 0,
+            polls: Polls::new(now),
             acceptor: recovered.acceptor,
             proposer,
             previous_view: None,
--- a/crates/store/src/keeper/feed_updates.rs
+++ b/crates/store/src/keeper/feed_updates.rs
@@ -23,6 +23,11 @@
         Reply::Snapshot { snapshot: Box::new(snapshot), lease_ms }
     }
 
+    /// Whether all changes that follow `last_change` are remembered: otherwise a node is sent a snapshot.
+    pub(super) fn remembers_since(&self, last_change: ChangeNumber) -> bool {
+        last_change <= self.store.last_change && self.recent_changes.reaches_back_to(last_change)
+    }
+
     fn remembered_since(&self, last_change: ChangeNumber) -> Option<Vec<Change>> {
         if last_change == self.store.last_change {
             return Some(Vec::new());
--- a/crates/store/src/keeper/recent_changes.rs
+++ b/crates/store/src/keeper/recent_changes.rs
@@ -22,10 +22,14 @@
         self.0.clear();
     }
 
+    /// Whether all changes that follow `last_change` are remembered.
+    pub fn reaches_back_to(&self, last_change: ChangeNumber) -> bool {
+        self.0.front().is_some_and(|oldest| oldest.number <= last_change + 1)
+    }
+
     /// The changes that follow `last_change`; `None` if some of them are not remembered.
     pub fn since(&self, last_change: ChangeNumber) -> Option<Vec<Change>> {
-        let oldest = self.0.front()?.number;
-        if oldest > last_change + 1 {
+        if !self.reaches_back_to(last_change) {
             return None;
         }
         Some(self.0.iter().filter(|change| change.number > last_change).cloned().collect())
--- a/crates/store/src/keeper/status.rs
+++ b/crates/store/src/keeper/status.rs
@@ -18,7 +18,7 @@
             leases: leases.unwrap_or_default(),
             disk: self.disk_usage,
             log: LogSize { entries: self.log.len() as u64, bytes: self.log.bytes() as u64 },
-            polls: PollCounts { waiting: self.pending_polls.len() as u64, answered: self.answered_polls },
+            polls: PollCounts { waiting: self.polls.waiting() as u64, answered: self.polls.answered },
         }
     }
 
--- a/crates/store/src/messages/client.rs
+++ b/crates/store/src/messages/client.rs
@@ -69,7 +69,9 @@
         /// The operator's document in force, as committed at the tail.
         ReadDocument,
         /// The keeper's own status.
-        Status
+        Status,
+        /// The view that the keeper knows. A status has every node's lease, which many nodes do not need to ask for.
+        CurrentView
     }
 
     /// The reply to a [`Request`].
--- a/crates/store/src/messages/idempotency.rs
+++ b/crates/store/src/messages/idempotency.rs
@@ -56,7 +56,9 @@
             // Repeated after it took effect it would be rejected, because the view's version has changed: the sender
             // would be told that it failed.
             Request::ChangeVoters { .. } => RetrySafety::Never,
-            Request::ReadStore | Request::ReadDocument | Request::Status => RetrySafety::ReadOnly,
+            Request::ReadStore | Request::ReadDocument | Request::Status | Request::CurrentView => {
+                RetrySafety::ReadOnly
+            }
         }
     }
 }
--- a/crates/store/src/messages/kinds.rs
+++ b/crates/store/src/messages/kinds.rs
@@ -34,6 +34,7 @@
             Request::ReadStore => "read_store",
             Request::ReadDocument => "read_document",
             Request::Status => "status",
+            Request::CurrentView => "current_view",
         }
     }
 }
--- a/crates/store/src/timing.rs
+++ b/crates/store/src/timing.rs
@@ -15,8 +15,12 @@
 pub const VIEW_LEASE: Millis = 1_000;
 /// Term of a node's lease, without which a node does not act on its copy of the state.
 pub const NODE_LEASE: Millis = 4_000;
-/// How long the tail keeps a node's poll open for new changes. Each poll renews the node's lease.
+/// How long the tail keeps a node's poll open for new changes, at least. Each poll renews the node's lease.
 pub const FEED_POLL_WAIT: Millis = 200;
+/// The same in the largest fleets.
+pub const MAX_FEED_POLL_WAIT: Millis = 600;
+/// So much longer for each node, so that the polls of a quiet fleet do not grow with it.
+const FEED_POLL_WAIT_PER_NODE: Millis = 2;
 /// An adopted configuration is acknowledged this long after its commit, if not every node has applied it before.
 pub const ADOPT_ACK_DELAY: Millis = 1_200;
 /// Shortest time between two proposals of one keeper.
@@ -34,6 +38,18 @@
     term - term * CLOCK_DRIFT_PER_MILLE / 1000 - 1
 }
 
+/// How long the tail of a fleet of so many nodes keeps a poll open for new changes.
+pub const fn feed_poll_wait(nodes: usize) -> Millis {
+    let wait = FEED_POLL_WAIT_PER_NODE * nodes as Millis;
+    if wait < FEED_POLL_WAIT {
+        FEED_POLL_WAIT
+    } else if wait > MAX_FEED_POLL_WAIT {
+        MAX_FEED_POLL_WAIT
+    } else {
+        wait
+    }
+}
+
 /// The shortest time after which a lost voter may be replaced: by then the chain is repaired and served without it.
 const MIN_REPLACE_AFTER: Millis = PEER_TIMEOUT + PROPOSAL_INTERVAL + with_clock_drift(VIEW_LEASE);
 /// The longest time from then on until its replacement holds the whole store. Its steps: the replacement announces
@@ -55,5 +71,11 @@
     PEER_TIMEOUT + PROPOSAL_INTERVAL + with_clock_drift(VIEW_LEASE) + FEED_POLL_WAIT
         < minus_clock_drift(NODE_LEASE)
 );
+// The same in the largest fleets: a node's lease counts from when it sent the last poll that was answered, and the next
+// one may have waited its time when the tail is lost.
+const _: () = assert!(
+    2 * MAX_FEED_POLL_WAIT + PEER_TIMEOUT + PROPOSAL_INTERVAL + with_clock_drift(VIEW_LEASE)
+        < minus_clock_drift(NODE_LEASE)
+);
 // A node without contact since an adopted configuration was committed has no lease 3 s after its acknowledgement.
 const _: () = assert!(with_clock_drift(NODE_LEASE) - minus_clock_drift(ADOPT_ACK_DELAY) < 3_000);
