A node keeps one connection to each server where its share is two or more

Cause: with an even share of three (1,200 connections, 300 nodes) none was kept for longer than 750 ms, so nearly each request opened one, which takes 12 ms of a server's slots where a statement takes 6; servers that were full were asked again by each waiter of each node every 60 to 120 ms. Change: one connection is kept however seldom it is used where the share is two or more; the pause at a full server doubles up to 480 to 960 ms, and a single attempt is made until it takes one. A pool that was never full no longer counts as crowded in the first second of its process. Figures: two requests 1.6 s apart opened two connections | one.

--- a/crates/proxy/src/direct/check_out.rs
+++ b/crates/proxy/src/direct/check_out.rs
@@ -14,8 +14,6 @@
 
 /// A new connection that is not open by then is given up.
 const OPEN_TIMEOUT: Millis = 1_000;
-/// How long a server that takes no more connections is left alone, at least; as much is added at random.
-const FULL_BACKOFF: Millis = 60;
 
 /// Why there is no connection. Nothing was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -110,6 +108,7 @@
         Ok(Ok(Ok(opened))) => {
             server.note_answer(asked_at);
             direct.open_counts.record_opened();
+            server.direct_pool.note_opened();
             Ok(Connection::new(opened.connection))
         }
         Ok(Ok(Err(rejection))) => Err(note_rejection(direct, server, asked_at, rejection.reason)),
@@ -136,8 +135,7 @@
     match reason {
         RejectReason::TooManyConnections => {
             direct.open_counts.record_full();
-            let backoff = FULL_BACKOFF + fastrand::u64(0..FULL_BACKOFF);
-            server.direct_pool.note_full(now() + backoff);
+            server.direct_pool.note_full(now());
             CheckoutError::Full
         }
         RejectReason::Busy => CheckoutError::Busy,
--- a/crates/proxy/src/direct/mod.rs
+++ b/crates/proxy/src/direct/mod.rs
@@ -10,6 +10,7 @@
 pub mod command;
 pub mod connection;
 mod connection_setup;
+mod full_backoff;
 mod monitored_call;
 mod open_counts;
 pub mod pool;
--- a/crates/proxy/src/direct/pool.rs
+++ b/crates/proxy/src/direct/pool.rs
@@ -1,6 +1,7 @@
 //! The connections of one proxy to one server: counted under one lock, checked out to one statement or transaction at a
 //! time.
 use super::connection::{Connection, SessionSettings};
+use super::full_backoff::FullBackoff;
 use quincehatch_core::Millis;
 use quincehatch_runtime::now;
 use std::collections::BTreeMap;
@@ -8,10 +9,6 @@
 use std::sync::{Arc, Mutex};
 use tokio::sync::oneshot;
 
-/// For this long after a server rejected a connection, connections that nobody waits for are closed: others may want
-/// them.
-const CROWDED_FOR: Millis = 1_000;
-
 /// Who is served first among those that wait: by priority, then by age.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct WaiterKey {
@@ -28,8 +25,7 @@
     next_ticket: u64,
     /// Changes when the server drains or restarts: connections from before are not kept.
     generation: u64,
-    /// The server takes no more connections: none is opened until then.
-    full_until: Millis,
+    full: FullBackoff,
 }
 
 /// The connections to one server.
@@ -159,8 +155,13 @@
     }
 
     /// The server rejected a connection, as it has as many as it takes.
-    pub(super) fn note_full(&self, until: Millis) {
-        self.state.lock().unwrap().full_until = until;
+    pub(super) fn note_full(&self, now: Millis) {
+        self.state.lock().unwrap().full.note_rejected(now);
+    }
+
+    /// The server took a connection.
+    pub(super) fn note_opened(&self) {
+        self.state.lock().unwrap().full.note_taken();
     }
 
     /// An idle connection, preferably one with these settings, else the one used last.
@@ -181,15 +182,16 @@
     /// The right to open a connection while there are fewer than `max`, else a place in the queue.
     pub(super) fn reserve(self: &Arc<Self>, max: usize, priority: u64) -> Reservation {
         let mut state = self.state.lock().unwrap();
-        let full = state.full_until > now();
+        let full = state.full.is_backing_off(now());
         if state.checked_out + state.idle.len() < max && !full {
+            state.full.note_attempt(now());
             return Reservation::Granted(self.grant(&mut state));
         }
         let (sender, receiver) = oneshot::channel();
         let key = WaiterKey { priority, ticket: state.next_ticket };
         state.next_ticket += 1;
         state.waiters.insert(key, sender);
-        let retry_at = full.then_some(state.full_until);
+        let retry_at = full.then_some(state.full.until());
         Reservation::Queued(Waiter { key, receiver, retry_at })
     }
 
@@ -221,7 +223,7 @@
                 }
             }
         }
-        let crowded = now() < state.full_until + CROWDED_FOR;
+        let crowded = state.full.is_crowded(now());
         state.idle.extend(connection.filter(|_| !crowded));
     }
 }
--- a/crates/proxy/src/direct/proxy.rs
+++ b/crates/proxy/src/direct/proxy.rs
@@ -20,6 +20,9 @@
 const BORROW_LIMIT: usize = 4;
 /// Of a server's connections, the divisor of the part up to which a proxy may exceed its even share.
 const BORROW_DIVISOR: usize = 8;
+/// With an even share of this or more a proxy keeps one connection however seldom it is used: if all do, half of the
+/// server's connections are left for whoever needs more than one.
+const KEEPING_SHARE: usize = 2;
 /// Connections that a server takes where the configuration does not say.
 const DEFAULT_SERVER_CONNECTIONS: u64 = 64;
 /// The part of a server's connections that the proxies share, in twentieths: the last one is left for those that watch
@@ -101,16 +104,19 @@
     /// Closes idle connections that were not needed lately, for as long as the task runs; `live_nodes` counts the live
     /// proxies.
     ///
-    /// What no proxy keeps is there for those that come back after a loss of power, while the connections they lost
-    /// still count at the servers.
+    /// One that is kept saves a new one for each request where many proxies spread their requests over many servers: to
+    /// open it takes more of a server's time than a statement does. What no proxy keeps is there for those that come
+    /// back after a loss of power, while the connections they lost still count at the servers.
     pub async fn trim_idle_connections(self: Arc<Self>, live_nodes: impl Fn() -> usize + Send) {
         loop {
             self.live_nodes.store(live_nodes(), Ordering::Relaxed);
             for server in self.proxy.registry.servers() {
+                if server.direct_pool.counts().idle == 0 {
+                    continue;
+                }
                 let even = self.connection_share(&server.group()).even.min(BORROW_LIMIT);
                 let idle_timeout = IDLE_TIMEOUT * even as Millis / BORROW_LIMIT as Millis;
-                // Where a proxy's share is small, one kept by each proxy would be all that a server takes.
-                let keep = if even == BORROW_LIMIT { 1 } else { 0 };
+                let keep = usize::from(even >= KEEPING_SHARE);
                 server.direct_pool.trim(now().saturating_sub(idle_timeout), keep);
             }
             seam::sleep(Duration::from_millis(IDLE_TIMEOUT / BORROW_LIMIT as Millis)).await;
