Owners of duties are kept in a table; which processes may act is asked once

Cause: each node ranked all nodes for each group's duty up to ten times a second (120 groups, 300 nodes: 360,000 hashes a second), and each group's owner asked all nodes each three seconds which process they are (12,000 calls a second in all, each with a STATUS of the tail that lists all leases). Change: OwnerTable weighs a node that comes once against each key's owner; the processes that may act follow from the enrollments in the feed, and each is asked once. One that others consider gone is left out only if the tail says that it holds no lease, as before. Conclusion: a node's work no longer grows with nodes times groups.

--- a/crates/core/src/hashing.rs
+++ b/crates/core/src/hashing.rs
@@ -26,11 +26,16 @@
     mixed ^ (mixed >> 31)
 }
 
+/// The weight of a node for a key in rendezvous hashing; the node with the highest owns the key.
+pub fn rendezvous_weight(key: &str, node: &str) -> u64 {
+    hash64(&[key.as_bytes(), node.as_bytes()])
+}
+
 /// Rendezvous hashing: orders `nodes` by their weight for `key`, the owner first. When a node comes or goes, only the
 /// keys that it owns change their owner.
 pub fn rendezvous<'a, S: AsRef<str> + 'a>(key: &str, nodes: impl IntoIterator<Item = &'a S>) -> Vec<&'a S> {
     let mut weighted: Vec<(u64, &S)> =
-        nodes.into_iter().map(|node| (hash64(&[key.as_bytes(), node.as_ref().as_bytes()]), node)).collect();
+        nodes.into_iter().map(|node| (rendezvous_weight(key, node.as_ref()), node)).collect();
     weighted.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.as_ref().cmp(b.1.as_ref())));
     weighted.into_iter().map(|(_, node)| node).collect()
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,7 +19,7 @@
 
 pub use error::{Error, Outcome};
 pub use error_code::ErrorCode;
-pub use hashing::{hash64, mix64, rendezvous};
+pub use hashing::{hash64, mix64, rendezvous, rendezvous_weight};
 pub use ids::{ChangeNumber, FencingToken, Labels, Millis, Name, Version};
 pub use position::Position;
 pub use primary_assignment::PrimaryAssignment;
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -12,9 +12,11 @@
 mod kinds;
 pub mod membership;
 pub mod messages;
+mod owner_table;
 pub mod ownership;
 mod retry_safety;
 pub mod session_replicas;
 
 pub use membership::{GossipAction, GossipMembership, LiveMember};
 pub use messages::*;
+pub use owner_table::OwnerTable;
--- a/crates/node/src/promotion/direct.rs
+++ b/crates/node/src/promotion/direct.rs
@@ -10,6 +10,7 @@
 mod launch;
 mod polling;
 mod probation;
+mod processes;
 mod repair;
 mod server_calls;
 mod server_statuses;
@@ -18,6 +19,7 @@
 pub use acknowledged_bounds::{AcknowledgedBound, AcknowledgedBounds, AcknowledgedReport};
 pub use group_state::DirectGroupState;
 pub use polling::probe_unless_recent;
+pub use processes::KnownProcesses;
 pub use server_statuses::ServerStatuses;
 
 pub(super) use actions::{
--- a/crates/node/src/promotion/direct/acknowledged.rs
+++ b/crates/node/src/promotion/direct/acknowledged.rs
@@ -4,18 +4,16 @@
 //! if every node that may have passed on an acknowledgement reports the end of what it passed on, the highest of these
 //! bounds everything acknowledged.
 use super::acknowledged_bounds::{AcknowledgedBound, AcknowledgedReport};
+use super::processes::{acting_processes, lease_holders};
 use super::server_calls::query_status;
 use crate::node::Node;
 use quincehatch_core::{FencingToken, Name, Position};
 use quincehatch_gossip::{NodeQuery, NodeReply};
 use quincehatch_runtime::seam;
-use quincehatch_store::{Reply, Request};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// The tail has this long to name the nodes that hold leases.
-const LEASES_TIMEOUT: Duration = Duration::from_millis(400);
 /// A replica that has not received what the primary had is asked again after this pause,
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// and so many times in all.
@@ -31,13 +29,10 @@
 /// Asks every node that may act: those alive, and those that the tail says may hold leases. After its report a node
 /// passes on no acknowledgement of what was sent under a lower token than `fence`.
 async fn gather_reports(node: &Arc<Node>, group: &Name, fence: FencingToken) -> GatheredReports {
-    let tail = node.store_client.tail_address();
-    let mut complete = true;
+    let holders = lease_holders(node).await;
+    let mut complete = holders.is_some();
     let mut names = node.gossip.live_names();
-    match node.store_client.call(&tail, Request::Status, LEASES_TIMEOUT).await {
-        Ok(Reply::Status { status }) => names.extend(status.leases.into_iter().map(|lease| lease.node)),
-        _ => complete = false,
-    }
+    names.extend(holders.unwrap_or_default());
     names.sort();
     names.dedup();
     let mut reports = BTreeMap::new();
@@ -66,12 +61,12 @@
 pub(super) async fn refresh_bound(node: &Arc<Node>, primary: &BoundedPrimary) -> bool {
     // Nodes are counted first, so that whoever acknowledges anything beyond `end` is among them, or began later and is
     // asked when it matters.
-    let gathered = gather_reports(node, &primary.group, 0).await;
+    let acting = acting_processes(node, &primary.group).await;
     let bounds = &node.promotion_state.acknowledged_bounds;
     // Where no new bound is found, whoever came meanwhile is asked too when it matters. One that comes and is gone
     // between two of these calls goes unseen.
-    bounds.add_nodes(&primary.group, primary.fence, &gathered.reports);
-    if !gathered.complete {
+    bounds.add_nodes(&primary.group, primary.fence, &acting.incarnations);
+    if !acting.complete {
         return false;
     }
     let Some(status) = query_status(node, &primary.server).await else { return false };
@@ -79,7 +74,7 @@
     if !all_receive(node, &primary.replicas, end).await {
         return false;
     }
-    let nodes = gathered.reports.into_iter().map(|(name, report)| (name, report.incarnation)).collect();
+    let nodes = acting.incarnations;
     bounds.set(&primary.group, AcknowledgedBound { primary_fence: primary.fence, end, nodes });
     true
 }
--- a/crates/node/src/promotion/direct/acknowledged_bounds.rs
+++ b/crates/node/src/promotion/direct/acknowledged_bounds.rs
@@ -71,13 +71,13 @@
         &self,
         group: &Name,
         primary_fence: FencingToken,
-        reports: &BTreeMap<Name, AcknowledgedReport>,
+        incarnations: &BTreeMap<Name, u64>,
     ) {
         let mut bounds = self.0.lock().unwrap();
         let bound = bounds.get_mut(group).filter(|bound| bound.primary_fence == primary_fence);
         let Some(bound) = bound else { return };
-        for (name, report) in reports {
-            bound.nodes.entry(name.clone()).or_insert(report.incarnation);
+        for (name, incarnation) in incarnations {
+            bound.nodes.entry(name.clone()).or_insert(*incarnation);
         }
     }
 }
--- a/crates/node/src/promotion/duty.rs
+++ b/crates/node/src/promotion/duty.rs
@@ -4,7 +4,7 @@
 use super::{direct, pooled};
 use crate::node::Node;
 use quincehatch_core::Name;
-use quincehatch_gossip::ownership::owner;
+use quincehatch_gossip::OwnerTable;
 use quincehatch_runtime::seam;
 use quincehatch_store::store::promotion_duty_key;
 use std::collections::{BTreeMap, BTreeSet};
@@ -18,6 +18,7 @@
 /// Looks after the groups whose duty this node owns, while it holds its lease.
 pub async fn run(node: Arc<Node>) {
     let mut groups: BTreeMap<Name, GroupState> = BTreeMap::new();
+    let mut owners = OwnerTable::default();
     let mut owns_any = true;
     loop {
         let is_idle = !owns_any && node.has_direct_servers();
@@ -28,11 +29,11 @@
         if !node.proxy.registry.has_lease() || node.proxy.registry.is_stopping() {
             continue;
         }
-        let live = node.gossip.live_names();
+        owners.set_live(node.gossip.live_names());
         owns_any = false;
         for group in known_groups(&node) {
             let state = groups.entry(group.clone()).or_default();
-            let duty_owner = owner(&promotion_duty_key(&group), &live);
+            let duty_owner = owners.owner(&promotion_duty_key(&group));
             owns_any |= duty_owner == Some(&node.gossip.local_name);
             tend_group(&node, &group, state, duty_owner).await;
         }
--- a/crates/node/src/promotion/state.rs
+++ b/crates/node/src/promotion/state.rs
@@ -1,6 +1,6 @@
 //! What the promotion duty keeps of all groups, for this node's other tasks to read.
 use super::counts::PromotionCounts;
-use super::direct::{AcknowledgedBounds, ServerStatuses};
+use super::direct::{AcknowledgedBounds, KnownProcesses, ServerStatuses};
 use super::suspicion::Suspicions;
 use quincehatch_core::{FencingToken, Millis, Name, PrimaryAssignment};
 use quincehatch_runtime::seam;
@@ -20,6 +20,8 @@
     pub server_statuses: ServerStatuses,
     /// Up to where all direct servers of a group hold what was acknowledged.
     pub acknowledged_bounds: AcknowledgedBounds,
+    /// Which process of each node is enrolled.
+    pub known_processes: KnownProcesses,
     /// The latest fencing token that this process took for each group.
     own_fences: Mutex<BTreeMap<Name, FencingToken>>,
     /// Identifies this process.
