quincehatch-lab soak: drawn signals, restarts and changes that overlap, on real processes

Cause: scenarios are fixed, small and end one fault before the next; callers leave a node as soon as it says that it stops. Change: soak draws a fleet (3 to 8 nodes, 3 or 5 keepers, 1 to 3 groups; each tenth seed as many nodes as asked for) and a script of series that overlap: rolling restarts, kills, suspensions, hangups, faults of servers, pushes. Callers keep a connection until it breaks. A process that ends by itself is a violation, in scenarios too.

--- a/crates/lab/src/bench/faults.rs
+++ b/crates/lab/src/bench/faults.rs
@@ -43,6 +43,7 @@
 async fn run_scenario(fleet: &FleetOptions, name: &str, round: usize) -> Result<ScenarioReport, String> {
     let mut running = local_fleet::start(fleet).await?;
     let options = ScenarioOptions {
+        keeps_connections: false,
         scenario: name.into(),
         seconds: SECONDS,
         callers: CALLERS,
--- a/crates/lab/src/cli/flags.rs
+++ b/crates/lab/src/cli/flags.rs
@@ -34,6 +34,7 @@
     "changes",
     "sessions",
     "allow",
+    "large-nodes",
 ];
 /// Deprecated flags, with today's names.
 const DEPRECATED_FLAGS: &[(&str, &str)] = &[
--- a/crates/lab/src/cli/help.rs
+++ b/crates/lab/src/cli/help.rs
@@ -5,6 +5,7 @@
 usage: quincehatch-lab fleet up [--shape thin|small|scripwell|lensbridge|nodes:N] [--dir DIR] [--port N]
        quincehatch-lab try [--scenario NAME|all] [--shape ...] [--seconds N] [--callers N] [--pause-ms N] [--seed N]
                  [--untimed]
+       quincehatch-lab soak [--seeds N] [--from SEED] [--seconds N] [--large-nodes N] [--untimed] [--dir DIR] [--port N]
        quincehatch-lab sim [--seeds N] [--from SEED] [--keepers N] [--nodes N] [--bug NAME]
                  [--final|--promotion-faults|--direct]
        quincehatch-lab sim --control [--allow LIST] [--seeds N] [--from SEED] [--bug NAME]
@@ -17,6 +18,8 @@
 
   fleet up    starts a whole cluster on loopback, pushes a configuration, and runs until Enter or a signal
   try         starts a cluster, runs callers and a script of faults, and checks that no must-never happened
+  soak        clusters of drawn sizes under drawn scripts of signals, restarts and changes that overlap, by seed;
+              --large-nodes: each tenth seed has so many nodes
   sim         the seeded simulator; a failing seed replays exactly with --from SEED --seeds 1; --direct: servers over
               their own protocol; --control: the control plane alone
   bench       measures: ratios, counts, pairs in turn; median and spread
--- a/crates/lab/src/cli/mod.rs
+++ b/crates/lab/src/cli/mod.rs
@@ -43,6 +43,13 @@
         /// Scenario, load and seed.
         options: ScenarioOptions,
     },
+    /// Run drawn scripts of overlapping faults on clusters of drawn sizes.
+    Soak {
+        /// Where the clusters run.
+        fleet: FleetOptions,
+        /// Seeds and sizes.
+        options: SoakOptions,
+    },
     /// Run a stand-in database server.
     StandInServer(StandInOptions),
     /// Run the platform's stand-in.
@@ -67,6 +74,21 @@
     pub port: u16,
 }
 
+/// Seeds of soak runs.
+#[derive(Debug, Clone)]
+pub struct SoakOptions {
+    /// How many seeds.
+    pub seeds: u64,
+    /// The first seed.
+    pub first_seed: u64,
+    /// How long each run is loaded, in seconds.
+    pub seconds: u64,
+    /// Nodes of each tenth run; 0: none is large.
+    pub large_nodes: usize,
+    /// Leave out the bounds that only a quiet machine can be held to.
+    pub untimed: bool,
+}
+
 /// Which world the simulator runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SimulatedWorld {
@@ -136,6 +158,7 @@
         ["try"] => {
             Ok(Command::RunScenarios { fleet: fleet_options(flags)?, options: scenario_options(flags)? })
         }
+        ["soak"] => Ok(Command::Soak { fleet: fleet_options(flags)?, options: soak_options(flags)? }),
         [] => Err("a command is missing".into()),
         other => Err(format!("`{}` is not a command", other.join(" "))),
     }
@@ -203,6 +226,16 @@
     }))
 }
 
+fn soak_options(flags: &Flags) -> Result<SoakOptions, String> {
+    Ok(SoakOptions {
+        seeds: flags.number("seeds", 1)?,
+        first_seed: flags.number("from", 1)?,
+        seconds: flags.number("seconds", 24)?,
+        large_nodes: flags.number("large-nodes", 0)?,
+        untimed: flags.has("untimed"),
+    })
+}
+
 fn scenario_options(flags: &Flags) -> Result<ScenarioOptions, String> {
     Ok(ScenarioOptions {
         scenario: flags.last_or("scenario", "mixed"),
@@ -210,6 +243,7 @@
         callers: flags.number("callers", 60)?,
         pause_ms: flags.number("pause-ms", 300)?,
         seed: flags.number("seed", 1)?,
+        keeps_connections: false,
         untimed: flags.has("untimed"),
     })
 }
--- a/crates/lab/src/local_fleet.rs
+++ b/crates/lab/src/local_fleet.rs
@@ -19,8 +19,13 @@
 pub async fn start(options: &FleetOptions) -> Result<RunningFleet, String> {
     let shape = Shape::named(&options.shape, options.port)
         .ok_or_else(|| format!("there is no shape {:?}", options.shape))?;
-    let dir = emptied_dir(&options.dir)?;
-    let plan = write_plan(&dir, &shape).map_err(|error| error.to_string())?;
+    start_shape(&shape, &options.dir).await
+}
+
+/// Starts a cluster of that shape, with its files in `dir`, and waits until every node is ready.
+pub async fn start_shape(shape: &Shape, dir: &str) -> Result<RunningFleet, String> {
+    let dir = emptied_dir(dir)?;
+    let plan = write_plan(&dir, shape).map_err(|error| error.to_string())?;
     let fleet = RunningFleet::start(plan).map_err(|error| error.to_string())?;
     push_configuration(&fleet.plan).await?;
     wait_until_ready(&fleet.plan).await?;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -12,6 +12,7 @@
 mod local_fleet;
 mod scenarios;
 mod simulate;
+mod soak;
 
 use cli::Command;
 use quincehatch_runtime::logging;
@@ -51,6 +52,7 @@
         Command::RunScenarios { fleet, options } => {
             block_on(async move { scenarios::run(&fleet, &options).await })
         }
+        Command::Soak { fleet, options } => block_on(async move { soak::run(&fleet, &options).await }),
         Command::FleetUp(options) => block_on(async move { local_fleet::run_until_stopped(&options).await }),
         Command::StandInServer(options) => block_on(async move {
             let _log = logging::start("info")?;
--- a/crates/simulator/src/fleet/load.rs
+++ b/crates/simulator/src/fleet/load.rs
@@ -28,6 +28,7 @@
 /// What the callers of a fleet share.
 pub(super) fn load_environment(fleet: &SimulatedFleet) -> Arc<LoadEnvironment> {
     Arc::new(LoadEnvironment {
+        keeps_connections: false,
         history: Default::default(),
         platform: fleet.platform.clone(),
         groups: fleet.shape.groups,
--- a/crates/testbed/src/caller.rs
+++ b/crates/testbed/src/caller.rs
@@ -129,7 +129,7 @@
         self.record_answer(&SentCall { path, body: &body, asked, deadline }, &reply);
         // A node that stops or is not ready: the platform knows another.
         let elsewhere = [ErrorCode::Stopping, ErrorCode::NoLease, ErrorCode::NotReady];
-        if reply.has_code(&elsewhere) {
+        if reply.has_code(&elsewhere) && !self.env.keeps_connections {
             self.connection = None;
         }
         Some(reply)
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -24,5 +24,6 @@
 mod scenarios;
 pub mod script;
 pub mod shape;
+pub mod soak;
 pub mod stand_in;
 pub mod statement;
--- a/crates/testbed/src/load_environment.rs
+++ b/crates/testbed/src/load_environment.rs
@@ -24,6 +24,8 @@
     pub orders_per_mille: u64,
     /// Moves to another zone in a thousand calls.
     pub moves_per_mille: u64,
+    /// Callers use a connection until it breaks, also when the node says that it stops.
+    pub keeps_connections: bool,
     /// Callers end once it is set.
     pub stop: AtomicBool,
     /// What callers sent.
--- a/crates/testbed/src/running.rs
+++ b/crates/testbed/src/running.rs
@@ -4,7 +4,7 @@
 use std::fs::OpenOptions;
 use std::io;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -71,18 +71,36 @@
     /// Asks a process to stop and waits a bounded time for it; true if it ended in order.
     pub fn stop(&mut self, name: &str, within: Duration) -> bool {
         self.signal(name, "TERM");
-        let Some(mut child) = self.children.remove(name) else { return false };
-        let deadline = Instant::now() + within;
-        while Instant::now() < deadline {
+        self.children.remove(name).is_some_and(|child| wait_for_end(child, within))
+    }
+
+    /// Removes the processes that have ended, with how they did.
+    pub fn take_ended(&mut self) -> Vec<(String, ExitStatus)> {
+        let mut ended = Vec::new();
+        for (name, child) in &mut self.children {
             if let Ok(Some(status)) = child.try_wait() {
-                return status.success();
+                ended.push((name.clone(), status));
             }
-            thread::sleep(STOP_POLL);
         }
-        let _ = child.kill();
-        let _ = child.wait();
-        false
+        for (name, _) in &ended {
+            self.children.remove(name);
+        }
+        ended
+    }
+}
+
+/// Waits a bounded time for a process to end, and kills it then; true if it ended in order.
+pub fn wait_for_end(mut child: Child, within: Duration) -> bool {
+    let deadline = Instant::now() + within;
+    while Instant::now() < deadline {
+        if let Ok(Some(status)) = child.try_wait() {
+            return status.success();
+        }
+        thread::sleep(STOP_POLL);
     }
+    let _ = child.kill();
+    let _ = child.wait();
+    false
 }
 
 impl Drop for RunningFleet {
--- a/crates/testbed/src/scenario.rs
+++ b/crates/testbed/src/scenario.rs
@@ -7,7 +7,7 @@
 use crate::history::Facts;
 use crate::load_environment::LoadEnvironment;
 use crate::run_facts::{collect_facts, read_journals, resolve_open_attempts};
-use crate::running::RunningFleet;
+use crate::running::{RunningFleet, wait_for_end};
 use crate::scenario_report::{RunTimes, report};
 pub use crate::scenario_report::{ScenarioOptions, ScenarioReport};
 use crate::script::{Action, Step, Target};
@@ -18,6 +18,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
+use tokio::task::JoinHandle;
 
 /// A process that is stopped in order has so long.
 const STOP_TIMEOUT: Duration = Duration::from_secs(12);
@@ -37,6 +38,8 @@
     env: Arc<LoadEnvironment>,
     /// Names of those that earlier steps hit, by label.
     hit: BTreeMap<&'static str, String>,
+    /// Processes that were told to stop.
+    stopping: BTreeMap<String, JoinHandle<bool>>,
     /// When which fault was done; a final one begins with `final`.
     faults: Vec<(Millis, String)>,
 }
@@ -75,8 +78,13 @@
         self.hit.insert(step.label, name.clone());
         match &step.act {
             Action::Kill => self.fleet.kill(&name),
-            Action::Start => self.fleet.spawn(&name, true).ok()?,
+            Action::Start => {
+                self.await_end(&name).await;
+                self.fleet.spawn(&name, true).ok()?;
+            }
             Action::Stop => self.stop(&name),
+            Action::Terminate => self.terminate(&name),
+            Action::Hangup => self.fleet.signal(&name, "HUP"),
             Action::Pause => self.fleet.signal(&name, "STOP"),
             Action::Continue => self.fleet.signal(&name, "CONT"),
             Action::Fault(settings) => self.call_server(&name, "/lab/fault", &json!(settings)).await,
@@ -94,9 +102,39 @@
 
     fn stop(&mut self, name: &str) {
         let stopped = tokio::task::block_in_place(|| self.fleet.stop(name, STOP_TIMEOUT));
+        self.check_stopped(name, stopped);
+    }
+
+    fn check_stopped(&self, name: &str, stopped: bool) {
         if !stopped {
-            let violation = format!("{name} did not stop in order");
-            self.env.history.lock().unwrap().violations.push(violation);
+            self.record_violation(format!("{name} did not stop in order"));
+        }
+    }
+
+    fn record_violation(&self, violation: String) {
+        self.env.history.lock().unwrap().violations.push(violation);
+    }
+
+    fn terminate(&mut self, name: &str) {
+        self.fleet.signal(name, "TERM");
+        if let Some(child) = self.fleet.children.remove(name) {
+            let ended = tokio::task::spawn_blocking(move || wait_for_end(child, STOP_TIMEOUT));
+            self.stopping.insert(name.to_owned(), ended);
+        }
+    }
+
+    /// Waits until a process that was told to stop has ended.
+    async fn await_end(&mut self, name: &str) {
+        if let Some(ended) = self.stopping.remove(name) {
+            self.check_stopped(name, ended.await.unwrap_or(false));
+        }
+    }
+
+    /// No process ends by itself; those that were killed or stopped are not among the children any more.
+    fn check_running(&mut self) {
+        let ended_by_themselves = self.fleet.take_ended();
+        for (name, status) in ended_by_themselves {
+            self.record_violation(format!("{name} ended by itself: {status}"));
         }
     }
 
@@ -118,6 +156,7 @@
     async fn perform_all(&mut self, script: &[Step], began: Millis) {
         for step in script {
             sleep_until(began + step.at).await;
+            self.check_running();
             let at = now();
             let name = self.perform(step).await.unwrap_or_else(|| "nobody".into());
             let kind = if step.is_final { "final" } else { "fault" };
@@ -141,6 +180,7 @@
         lookup_ms: plan.shape.lookup_ms(),
         orders_per_mille: ORDERS_PER_MILLE,
         moves_per_mille: MOVES_PER_MILLE,
+        keeps_connections: options.keeps_connections,
         stop: AtomicBool::new(false),
         sent_statements: Default::default(),
         calls: Default::default(),
@@ -160,10 +200,17 @@
         .map(|number| tokio::spawn(caller(number).run_until(u64::MAX, options.pause_ms)))
         .collect();
     let began = now();
-    let mut run = ScenarioRun { fleet, env: env.clone(), hit: BTreeMap::new(), faults: Vec::new() };
+    let mut run = ScenarioRun {
+        fleet,
+        env: env.clone(),
+        hit: BTreeMap::new(),
+        stopping: BTreeMap::new(),
+        faults: Vec::new(),
+    };
     run.perform_all(&script, began).await;
-    let faults = run.faults;
     sleep_until(began + options.seconds * 1_000).await;
+    run.check_running();
+    let faults = run.faults;
     env.stop.store(true, Ordering::SeqCst);
     let end = now();
     for caller in callers {
--- a/crates/testbed/src/scenario_report.rs
+++ b/crates/testbed/src/scenario_report.rs
@@ -17,6 +17,8 @@
     pub pause_ms: Millis,
     /// Seed of the callers.
     pub seed: u64,
+    /// Callers use a connection until it breaks, also when the node says that it stops.
+    pub keeps_connections: bool,
     /// Leave out the bounds that only a quiet machine can be held to (N12).
     pub untimed: bool,
 }
--- a/crates/testbed/src/script.rs
+++ b/crates/testbed/src/script.rs
@@ -29,8 +29,12 @@
     Kill,
     /// The process is started again.
     Start,
-    /// The process is stopped in order.
+    /// The process is stopped in order, and waited for.
     Stop,
+    /// The process is told to stop; its next start waits until it has ended.
+    Terminate,
+    /// The process is told that its settings file may have changed.
+    Hangup,
     /// The process is suspended.
     Pause,
     /// The suspension ends.
--- a/crates/testbed/src/shape.rs
+++ b/crates/testbed/src/shape.rs
@@ -1,6 +1,6 @@
 //! Sizes of fleets.
 /// Servers of a group.
-const REPLICAS: usize = 3;
+pub const REPLICAS: usize = 3;
 /// Largest number of nodes that can be asked for.
 const MAX_NODES: usize = 64;
 /// Deadline of lookups in milliseconds, and the longer one of the shape `lensbridge`.
--- /dev/null
+++ b/crates/testbed/src/soak/size.rs
@@ -0,0 +1,52 @@
+//! How large the fleet of a soak run is.
+use crate::shape::{REPLICAS, Shape};
+use quincehatch_runtime::rng::Rng;
+
+/// One run in so many has as many processes as the machine bears.
+const LARGE_EVERY: u64 = 10;
+const MAX_ZONES: u64 = 4;
+/// Nodes for each group of servers in a large run.
+const NODES_PER_GROUP: usize = 12;
+/// Callers, and those of a large run.
+const CALLERS: usize = 40;
+const LARGE_CALLERS: usize = 200;
+
+/// A drawn fleet.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SoakSize {
+    /// Its shape.
+    pub shape: Shape,
+    /// Callers that load it.
+    pub callers: usize,
+}
+
+impl SoakSize {
+    /// Processes of the fleet, with the platform's stand-in.
+    pub fn processes(&self) -> usize {
+        let Shape { nodes, keepers, groups, replicas, .. } = self.shape;
+        nodes + keepers + groups * replicas + 1
+    }
+}
+
+/// Draws the size for a seed. `large_nodes`: nodes of the large runs; 0: none is large.
+pub fn draw_size(seed: u64, large_nodes: usize, port: u16) -> SoakSize {
+    let mut rng = Rng::new(seed);
+    let is_large = large_nodes > 0 && seed.is_multiple_of(LARGE_EVERY);
+    let mut draw = |least: usize, count: u64| least + rng.below(count) as usize;
+    let shape = Shape {
+        name: "soak".into(),
+        zones: draw(1, MAX_ZONES),
+        nodes: draw(3, 6),
+        keepers: if draw(0, 3) == 0 { 5 } else { 3 },
+        groups: draw(1, 3),
+        replicas: REPLICAS,
+        port,
+    };
+    let shape = if is_large {
+        Shape { nodes: large_nodes, keepers: 5, groups: large_nodes.div_ceil(NODES_PER_GROUP), ..shape }
+    } else {
+        shape
+    };
+    let callers = if is_large { LARGE_CALLERS } else { CALLERS };
+    SoakSize { shape, callers }
+}
