--- a/crates/proxy/src/client_api/listener.rs
+++ b/crates/proxy/src/client_api/listener.rs
@@ -46,11 +46,13 @@
     pub body: String,
     /// Value of the header `retry-after`, in seconds.
     pub retry_after_s: Option<u64>,
+    /// Value of the header `location`.
+    pub location: Option<String>,
 }
 
 impl From<(u16, Value)> for HttpResponse {
     fn from((status, body): (u16, Value)) -> HttpResponse {
-        HttpResponse { status, body: body.to_string(), retry_after_s: None }
+        HttpResponse { status, body: body.to_string(), retry_after_s: None, location: None }
     }
 }
 
@@ -124,6 +126,9 @@
     if let Some(seconds) = reply.retry_after_s {
         headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
     }
+    if let Some(location) = reply.location.and_then(|location| HeaderValue::try_from(location).ok()) {
+        headers.insert(header::LOCATION, location);
+    }
     response
 }
 
