--- a/crates/keeper/src/main.rs
+++ b/crates/keeper/src/main.rs
@@ -13,6 +13,7 @@
 use quincehatch_config::settings::{KeeperSettings, read_file};
 use quincehatch_core::{Error, ErrorCode, Name};
 use quincehatch_runtime::now;
+use quincehatch_runtime::signals::{ProcessSignal, ProcessSignals};
 use quincehatch_store::driver::run_keeper;
 use quincehatch_store::host::KeeperHost;
 use quincehatch_store::storage::disk::{Disk, OpenedDisk};
@@ -20,7 +21,6 @@
 use std::fmt::Display;
 use std::path::Path;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
 /// Threads of the runtime: the keeper itself runs on one, connections on the other.
@@ -97,6 +97,7 @@
 
 async fn serve(args: &Args, settings: &KeeperSettings) -> Result<(), Error> {
     let _log = quincehatch_runtime::logging::start(&settings.log).map_err(invalid_settings)?;
+    let signals = ProcessSignals::install().map_err(invalid_settings)?;
     let view = first_view(args.first_start, settings);
     let OpenedDisk { disk, state, .. } = Disk::open(Path::new(&settings.data_dir), &settings.name, view)?;
     let listener = TcpListener::bind(&settings.addr)
@@ -108,17 +109,14 @@
     let make_keeper = Box::new(move |state, now| Keeper::new(name.clone(), now, state));
     let host = KeeperHost::new(state, now(), make_keeper);
     let (stop, stopped) = watch::channel(false);
-    tokio::spawn(stop_on_signal(stop));
+    tokio::spawn(stop_on_signal(signals, stop));
     run_keeper(host, disk, listener, stopped).await
 }
 
-/// Stops the keeper when the process gets SIGTERM or SIGINT.
-async fn stop_on_signal(stop: watch::Sender<bool>) {
-    let Ok(mut terminate) = signal(SignalKind::terminate()) else { return };
-    let Ok(mut interrupt) = signal(SignalKind::interrupt()) else { return };
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+/// Stops the keeper when the process gets SIGTERM or SIGINT. Its settings are read at its start alone.
+async fn stop_on_signal(mut signals: ProcessSignals, stop: watch::Sender<bool>) {
+    while signals.next().await == ProcessSignal::Reload {
+        log::info!(target: "chain", "the settings of a keeper are read when it starts");
     }
     log::info!(target: "chain", "stopping");
     let _ = stop.send(true);
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -15,6 +15,7 @@
 use quincehatch_node::{Node, client_api, feed, open_transactions, operator, peer_service};
 use quincehatch_proxy::listener::{JsonHandler, ListenerHandle, listen};
 use quincehatch_runtime::now;
+use quincehatch_runtime::signals::ProcessSignals;
 use std::process::exit;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -66,6 +67,7 @@
 async fn run(settings: &NodeSettings, runtime: &Handle) -> Result<(), Error> {
     let log = quincehatch_runtime::logging::start(&settings.log)
         .map_err(|error| ErrorCode::InvalidSettings.with_detail(error))?;
+    let signals = ProcessSignals::install().map_err(|error| ErrorCode::InvalidSettings.with_detail(error))?;
     let gossip_listener = bind(&settings.gossip_listener).await?;
     let node = Node::new(settings);
     let client_listener = open_client_listener(&node, settings, runtime)?;
@@ -77,7 +79,7 @@
     );
     runtime.spawn(peer_service::serve(node.clone(), gossip_listener));
     node.start();
-    settings_watch::wait_for_stop(settings, &log).await;
+    settings_watch::wait_for_stop(settings, &log, signals).await;
     shut_down(&node).await;
     client_listener.close();
     operator_listener.close();
--- a/crates/node/src/settings_watch.rs
+++ b/crates/node/src/settings_watch.rs
@@ -2,29 +2,23 @@
 use crate::arguments::{read_again, settings_path};
 use quincehatch_config::settings::NodeSettings;
 use quincehatch_runtime::logging::LogHandle;
+use quincehatch_runtime::signals::{ProcessSignal, ProcessSignals};
 use std::time::{Duration, SystemTime};
-use tokio::signal::unix::{SignalKind, signal};
 
 /// Time between two looks at the settings file.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Waits until the process is told to stop.
 ///
-/// Meanwhile a changed settings file is validated again. An invalid one is logged and the last valid one stays in force;
+/// Meanwhile a changed settings file is validated again, at once on a hangup signal. An invalid one is logged and the last valid one stays in force;
 /// of a valid one the log level is applied at once, and everything else waits for a restart.
-pub async fn wait_for_stop(settings: &NodeSettings, log: &LogHandle) {
-    let terminate = signal(SignalKind::terminate());
-    let interrupt = signal(SignalKind::interrupt());
-    let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) else {
-        return;
-    };
+pub async fn wait_for_stop(settings: &NodeSettings, log: &LogHandle, mut signals: ProcessSignals) {
     let path = settings_path();
     let mut last_modified = modification_time(path.as_deref());
     let mut in_force = settings.clone();
     loop {
         tokio::select! {
-            _ = terminate.recv() => return,
-            _ = interrupt.recv() => return,
+            signal = signals.next() => if signal == ProcessSignal::Stop { return },
             () = tokio::time::sleep(POLL_INTERVAL) => {}
         }
         let modified = modification_time(path.as_deref());
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod logging;
 pub mod rng;
 pub mod seam;
+pub mod signals;
 
 pub use seam::now;
