Long answers to polls are paid for by their bytes and sent one after the other

Change: an answer costs one and a part for each 4 KB (8 KB in a millisecond); who comes behind one that must wait waits too; a poll is put off by 1.8 s at most and then sent away, without a lease. In a fleet of over 100 nodes a node waits up to 3 s for its poll, and asks meanwhile whether another keeper is the tail. Conclusion: safe as before: a lease is renewed only together with the changes; the sums are asserted in timing.rs.

--- a/crates/node/src/feed/follower.rs
+++ b/crates/node/src/feed/follower.rs
@@ -2,9 +2,9 @@
 use super::cluster_state::publish;
 use super::enrollment::enroll;
 use crate::node::Node;
-use quincehatch_core::{ChangeNumber, Millis, Name, ServerRecord};
+use quincehatch_core::{ChangeNumber, ErrorCode, Millis, Name, ServerRecord};
 use quincehatch_runtime::{now, seam};
-use quincehatch_store::timing::{feed_poll_wait, minus_clock_drift};
+use quincehatch_store::timing::{FEED_POLL_WAIT, feed_poll_wait, minus_clock_drift};
 use quincehatch_store::{Change, FeedSnapshot, FeedState, Reply, Request};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -80,9 +80,30 @@
         self.node.feed_state.lock().unwrap().nodes.len()
     }
 
-    /// Only a node that has no state yet waits for a snapshot; any other wants to learn soon that its tail is gone.
+    /// Ends once some keeper knows of a view with another tail than the one that is polled.
+    async fn wait_for_other_tail(&self) {
+        let pause = Duration::from_millis(self.usual_poll_ms());
+        loop {
+            seam::sleep(pause).await;
+            self.node.store_client.refresh_view().await;
+            if self.node.store_client.tail_address() != self.tail {
+                return;
+            }
+        }
+    }
+
+    /// The time in which a poll is answered unless the answer is long.
+    fn usual_poll_ms(&self) -> u64 {
+        feed_poll_wait(self.enrolled_nodes()) + POLL_GRACE_MS
+    }
+
+    /// In a large fleet a long answer may be put off, and a node that has no state yet waits for a snapshot. Any other
+    /// wants to learn soon that its tail is gone.
     fn poll_timeout_ms(&self) -> u64 {
-        let timeout_ms = feed_poll_wait(self.enrolled_nodes()) + POLL_GRACE_MS;
+        let timeout_ms = self.usual_poll_ms();
+        if self.last_change() > 0 && timeout_ms > FEED_POLL_WAIT + POLL_GRACE_MS {
+            return MAX_POLL_MS;
+        }
         let doublings = if self.last_change() == 0 { self.unanswered_polls } else { 0 };
         timeout_ms.saturating_mul(1 << doublings.min(MAX_DOUBLINGS)).min(MAX_POLL_MS)
     }
@@ -98,7 +119,11 @@
         let sent_at = now();
         let timeout = Duration::from_millis(self.poll_timeout_ms());
         let polled = self.tail.clone();
-        let reply = self.node.store_client.call(&self.tail, request, timeout).await;
+        let call = self.node.store_client.call(&self.tail, request, timeout);
+        let reply = match seam::select_first(call, self.wait_for_other_tail()).await {
+            Ok(reply) => reply,
+            Err(()) => Err(ErrorCode::ChainUnavailable.with_detail("another keeper is the tail by now")),
+        };
         self.unanswered_polls = if reply.is_err() { self.unanswered_polls + 1 } else { 0 };
         let lease_ms = match reply {
             Ok(Reply::Changes { changes, lease_ms }) => self.apply_changes(&changes).then_some(lease_ms),
--- a/crates/store/src/keeper/feed_updates.rs
+++ b/crates/store/src/keeper/feed_updates.rs
@@ -5,6 +5,9 @@
 use crate::messages::Reply;
 use quincehatch_core::{ChangeNumber, Millis, Version};
 
+/// Bytes of a server, a primary or a node in a snapshot, about.
+const RECORD_BYTES: usize = 80;
+
 /// A configuration, packed for snapshots.
 #[derive(Clone, Debug)]
 pub(super) struct PackedConfiguration {
@@ -23,9 +26,14 @@
         Reply::Snapshot { snapshot: Box::new(snapshot), lease_ms }
     }
 
-    /// Whether all changes that follow `last_change` are remembered: otherwise a node is sent a snapshot.
-    pub(super) fn remembers_since(&self, last_change: ChangeNumber) -> bool {
-        last_change <= self.store.last_change && self.recent_changes.reaches_back_to(last_change)
+    /// The bytes, more or less, of what a node is sent that has applied `last_change`.
+    pub(super) fn answer_length(&mut self, last_change: ChangeNumber) -> u64 {
+        let is_ahead = last_change > self.store.last_change;
+        if let Some(bytes) = self.recent_changes.length_since(last_change).filter(|_| !is_ahead) {
+            return bytes;
+        }
+        let records = self.store.servers.len() + self.store.primaries.len() + self.store.nodes.len();
+        (self.packed_configuration_json().size() + records * RECORD_BYTES) as u64
     }
 
     fn remembered_since(&self, last_change: ChangeNumber) -> Option<Vec<Change>> {
--- a/crates/store/src/keeper/recent_changes.rs
+++ b/crates/store/src/keeper/recent_changes.rs
@@ -4,6 +4,9 @@
 use quincehatch_core::ChangeNumber;
 use std::collections::VecDeque;
 
+/// Bytes of a change other than a configuration, about.
+const CHANGE_BYTES: usize = 80;
+
 /// Consecutive changes up to the newest one, since this process began or took a whole store.
 #[derive(Clone, Debug, Default)]
 pub(super) struct RecentChanges(VecDeque<Change>);
@@ -22,8 +25,14 @@
         self.0.clear();
     }
 
-    /// Whether all changes that follow `last_change` are remembered.
-    pub fn reaches_back_to(&self, last_change: ChangeNumber) -> bool {
+    /// The bytes, more or less, of the changes that follow `last_change`; `None` if some of them are not remembered.
+    pub fn length_since(&self, last_change: ChangeNumber) -> Option<u64> {
+        let newer = |change: &&Change| change.number > last_change;
+        let bytes = self.0.iter().filter(newer).map(|change| change.size() + CHANGE_BYTES).sum::<usize>();
+        self.reaches_back_to(last_change).then_some(bytes as u64)
+    }
+
+    fn reaches_back_to(&self, last_change: ChangeNumber) -> bool {
         self.0.front().is_some_and(|oldest| oldest.number <= last_change + 1)
     }
 
--- a/crates/store/src/keeper/requests/polls.rs
+++ b/crates/store/src/keeper/requests/polls.rs
@@ -2,8 +2,27 @@
 use super::answer_budget::AnswerBudget;
 use crate::keeper::{Keeper, Output};
 use crate::messages::{Reply, Request};
-use crate::timing::{NODE_LEASE, feed_poll_wait};
+use crate::timing::{MAX_PUT_OFF, NODE_LEASE, feed_poll_wait};
 use quincehatch_core::{ChangeNumber, Millis, Name};
+use std::collections::BTreeMap;
+
+/// The bytes of the answers to polls, by the newest change that a node has applied.
+type AnswerLengths = BTreeMap<ChangeNumber, u64>;
+
+/// One look at all polls that wait.
+#[derive(Default)]
+struct Round {
+    lengths: AnswerLengths,
+    is_budget_spent: bool,
+}
+
+/// What becomes of a poll that waits.
+enum Decision {
+    Wait,
+    Answer,
+    /// The node is to ask again: it has waited long, and may wait no longer.
+    SendAway,
+}
 
 /// What a node polls with.
 #[derive(Clone, Debug)]
@@ -89,21 +108,38 @@
         if !self.polls.pending.iter().any(may_be_due) {
             return;
         }
+        let mut round = Round::default();
         for pending in std::mem::take(&mut self.polls.pending) {
-            if self.is_due(&pending) {
-                self.answer_pending(pending);
-            } else {
-                self.polls.pending.push(pending);
+            match self.decide(&pending, &mut round) {
+                Decision::Wait => self.polls.pending.push(pending),
+                Decision::Answer => self.answer_pending(pending),
+                Decision::SendAway => {
+                    let redirect = self.redirect();
+                    self.answer_poll(pending.poll.token, redirect);
+                }
             }
         }
     }
 
-    fn is_due(&mut self, pending: &PendingPoll) -> bool {
-        if self.is_time_up(pending) {
-            return true;
+    fn decide(&mut self, pending: &PendingPoll, round: &mut Round) -> Decision {
+        if !self.lacks_changes(pending) {
+            return if self.is_time_up(pending) { Decision::Answer } else { Decision::Wait };
         }
-        let is_snapshot = !self.remembers_since(pending.poll.last_change);
-        self.lacks_changes(pending) && self.polls.budget.pay(self.now, is_snapshot)
+        // Whoever comes behind one that must wait waits too: short answers would else keep a long one waiting.
+        round.is_budget_spent = round.is_budget_spent || !self.pay_for(pending, &mut round.lengths);
+        if !round.is_budget_spent {
+            Decision::Answer
+        } else if self.now < pending.deadline + MAX_PUT_OFF {
+            Decision::Wait
+        } else {
+            Decision::SendAway
+        }
+    }
+
+    fn pay_for(&mut self, pending: &PendingPoll, lengths: &mut AnswerLengths) -> bool {
+        let last_change = pending.poll.last_change;
+        let bytes = *lengths.entry(last_change).or_insert_with(|| self.answer_length(last_change));
+        self.polls.budget.pay(self.now, bytes)
     }
 
     fn is_time_up(&self, pending: &PendingPoll) -> bool {
--- a/crates/store/src/timing.rs
+++ b/crates/store/src/timing.rs
@@ -19,6 +19,8 @@
 pub const FEED_POLL_WAIT: Millis = 200;
 /// The same in the largest fleets.
 pub const MAX_FEED_POLL_WAIT: Millis = 600;
+/// A poll for which the tail has a long answer may wait so much longer, until the tail has sent it to others.
+pub const MAX_PUT_OFF: Millis = 1_800;
 /// So much longer for each node, so that the polls of a quiet fleet do not grow with it.
 const FEED_POLL_WAIT_PER_NODE: Millis = 2;
 /// An adopted configuration is acknowledged this long after its commit, if not every node has applied it before.
@@ -71,6 +73,8 @@
     PEER_TIMEOUT + PROPOSAL_INTERVAL + with_clock_drift(VIEW_LEASE) + FEED_POLL_WAIT
         < minus_clock_drift(NODE_LEASE)
 );
+// A poll that was put off is answered before the lease ends that the poll before it renewed.
+const _: () = assert!(2 * MAX_FEED_POLL_WAIT + MAX_PUT_OFF < minus_clock_drift(NODE_LEASE));
 // The same in the largest fleets: a node's lease counts from when it sent the last poll that was answered, and the next
 // one may have waited its time when the tail is lost.
 const _: () = assert!(
--- a/crates/store/tests/large_fleet.rs
+++ b/crates/store/tests/large_fleet.rs
@@ -8,6 +8,7 @@
 
 use cluster::Cluster;
 use quincehatch_core::{ChangeNumber, Millis, Name, PrimaryAssignment, Role, ServerRecord};
+use quincehatch_runtime::rng::Rng;
 use quincehatch_store::{Command, Reply, Request};
 use std::collections::BTreeMap;
 
@@ -18,6 +19,8 @@
 const FIRST_POLL: u64 = 1_000_000;
 /// Polls that the tail answers in a second, whatever happens.
 const MAX_ANSWERS_PER_SECOND: usize = 3_000;
+/// Bytes of answers in a second: what a link of 100 Mbit/s takes.
+const MAX_BYTES_PER_SECOND: usize = 12_500_000;
 
 /// What a node has applied, and the entry that enrolled it.
 struct Follower {
@@ -32,8 +35,9 @@
     polls: BTreeMap<u64, Name>,
     next_poll: u64,
     next_write: u64,
-    /// Answers to polls.
+    /// Answers to polls, and their bytes.
     answers: usize,
+    bytes: usize,
 }
 
 impl Fleet {
@@ -48,6 +52,7 @@
             next_poll: FIRST_POLL,
             next_write: 1,
             answers: 0,
+            bytes: 0,
         };
         let first = fleet.last_change() + 1;
         for number in first..first + NODES as u64 {
@@ -114,12 +119,15 @@
             return;
         };
         self.answers += 1;
+        self.bytes += borsh::to_vec(&reply).unwrap().len();
         let follower = self.followers.get_mut(&node).unwrap();
         match reply {
             Reply::Changes { changes, .. } => {
                 follower.last_change = changes.last().map_or(follower.last_change, |change| change.number);
             }
             Reply::Snapshot { snapshot, .. } => follower.last_change = snapshot.last_change,
+            // It has waited long for a long answer.
+            Reply::Redirect { .. } => {}
             other => panic!("{other:?}"),
         }
         self.poll_of(&node);
@@ -145,6 +153,33 @@
     assert_eq!(behind, 0);
 }
 
+/// A configuration of 1,680 routes more filled the tail's link for seconds: its peers did not hear of it and took it for
+/// lost, and the next tail sent the same to all nodes again.
+#[test]
+fn a_long_configuration_reaches_all_nodes_without_filling_the_link() {
+    let mut fleet = Fleet::new();
+    fleet.poll_of_all();
+    fleet.run_for(1_000);
+    let mut rng = Rng::new(7);
+    let route = |rng: &mut Rng| {
+        format!(r#"{{"name":"r-{:x}","when":{{"db":["{:x}"]}}}}"#, rng.below(u64::MAX), rng.below(u64::MAX))
+    };
+    let routes: Vec<String> = (0..2_000).map(|_| route(&mut rng)).collect();
+    let text = format!(r#"{{"rules":[{}]}}"#, routes.join(","));
+    fleet.write(Command::AdoptDocument { number: 5, source: text.clone(), text, by: "t".into() });
+    fleet.bytes = 0;
+    let mut most_in_a_second = 0;
+    for _ in 0..4 {
+        let before = fleet.bytes;
+        fleet.run_for(1_000);
+        most_in_a_second = most_in_a_second.max(fleet.bytes - before);
+    }
+    assert!(most_in_a_second < MAX_BYTES_PER_SECOND, "{most_in_a_second} bytes in a second");
+    let last_change = fleet.last_change();
+    let behind = fleet.followers.values().filter(|follower| follower.last_change < last_change).count();
+    assert_eq!(behind, 0, "{} bytes", fleet.bytes);
+}
+
 #[test]
 fn a_primary_is_closed_at_all_nodes_within_a_second_while_many_servers_register() {
     let mut fleet = Fleet::new();
