--- a/crates/capacity/src/components/frames.rs
+++ b/crates/capacity/src/components/frames.rs
@@ -1,7 +1,7 @@
 //! Sizes of the frames in which keepers tell what they store.
 use super::store::{adopt, populated_store};
 use quincehatch_store::compression::PackedText;
-use quincehatch_store::{FeedSnapshot, KeeperResponse, Reply, Store};
+use quincehatch_store::{FeedSnapshot, KeeperResponse, PackedSnapshot, Reply, Store};
 use quincehatch_wire::{ANSWER_HEADER_BYTES, LENGTH_BYTES};
 
 /// The lease in the replies; its size does not depend on it.
@@ -25,7 +25,7 @@
 /// Sizes of the frames of a cluster with `groups` databases.
 pub fn frame_sizes(groups: usize) -> FrameSizes {
     let mut store = populated_store(groups, ADOPTED);
-    let snapshot = Box::new(feed_snapshot(&store));
+    let snapshot = PackedSnapshot::pack(&feed_snapshot(&store));
     let store_frame = frame_bytes(Reply::Store { store: Box::new(store.clone()) });
     let changes = vec![adopt(&mut store, groups, NEXT_ADOPTED)];
     FrameSizes {
--- a/crates/proxy/src/direct/check_out.rs
+++ b/crates/proxy/src/direct/check_out.rs
@@ -138,7 +138,10 @@
             server.direct_pool.note_full(now());
             CheckoutError::Full
         }
-        RejectReason::Busy => CheckoutError::Busy,
+        RejectReason::Busy => {
+            server.direct_pool.note_congested(now());
+            CheckoutError::Busy
+        }
         _ => {
             // Another server has the address by now.
             server.note_failure(asked_at, true);
--- a/crates/proxy/src/direct/monitored_call.rs
+++ b/crates/proxy/src/direct/monitored_call.rs
@@ -5,7 +5,7 @@
 use super::server_choice::fence_if_primary;
 use crate::evidence::{ConnectionEnd, classify_end};
 use crate::overdue_replies::PendingReply;
-use crate::ports::{ServerCall, ServerReply};
+use crate::ports::{RejectReason, ServerCall, ServerReply};
 use crate::registry::ServerEntry;
 use quincehatch_core::{FencingToken, Millis, Name, PrimaryAssignment};
 use quincehatch_runtime::{now, seam};
@@ -70,7 +70,10 @@
         }
     }
 
-    fn note_reply(&self, sent_at: Millis, call_id: u64) {
+    fn note_reply(&self, sent_at: Millis, call_id: u64, reply: &ServerReply) {
+        if reply.rejection.as_ref().is_some_and(|rejection| rejection.reason == RejectReason::Busy) {
+            self.server.direct_pool.note_congested(now());
+        }
         let settings = self.direct.proxy.health_settings();
         self.server.health.lock().unwrap().request_succeeded(now(), &settings, call_id);
         self.server.note_answer(sent_at);
@@ -146,7 +149,7 @@
         guard.armed = false;
         match result {
             Ok(Ok(reply)) => {
-                context.note_reply(sent_at, call_id);
+                context.note_reply(sent_at, call_id, &reply);
                 Ok(reply)
             }
             Ok(Err(error)) => {
--- a/crates/proxy/src/direct/pool.rs
+++ b/crates/proxy/src/direct/pool.rs
@@ -1,7 +1,7 @@
 //! The connections of one proxy to one server: counted under one lock, checked out to one statement or transaction at a
 //! time.
 use super::connection::{Connection, SessionSettings};
-use super::full_backoff::FullBackoff;
+use super::open_gate::OpenGate;
 use quincehatch_core::Millis;
 use quincehatch_runtime::now;
 use std::collections::BTreeMap;
@@ -25,7 +25,7 @@
     next_ticket: u64,
     /// Changes when the server drains or restarts: connections from before are not kept.
     generation: u64,
-    full: FullBackoff,
+    gate: OpenGate,
 }
 
 /// The connections to one server.
@@ -156,12 +156,22 @@
 
     /// The server rejected a connection, as it has as many as it takes.
     pub(super) fn note_full(&self, now: Millis) {
-        self.state.lock().unwrap().full.note_rejected(now);
+        self.state.lock().unwrap().gate.note_rejected(now);
+    }
+
+    /// The server rejected a statement, as it is busy.
+    pub(super) fn note_congested(&self, now: Millis) {
+        self.state.lock().unwrap().gate.note_congested(now);
+    }
+
+    /// Until when no further connection is opened, as the server is congested; 0 if it never was.
+    pub fn congested_until(&self) -> Millis {
+        self.state.lock().unwrap().gate.congested_until()
     }
 
     /// The server took a connection.
     pub(super) fn note_opened(&self) {
-        self.state.lock().unwrap().full.note_taken();
+        self.state.lock().unwrap().gate.note_taken();
     }
 
     /// An idle connection, preferably one with these settings, else the one used last.
@@ -182,16 +192,17 @@
     /// The right to open a connection while there are fewer than `max`, else a place in the queue.
     pub(super) fn reserve(self: &Arc<Self>, max: usize, priority: u64) -> Reservation {
         let mut state = self.state.lock().unwrap();
-        let full = state.full.is_backing_off(now());
-        if state.checked_out + state.idle.len() < max && !full {
-            state.full.note_attempt(now());
+        let connections = state.checked_out + state.idle.len();
+        let is_closed = state.gate.is_closed(now(), connections);
+        if connections < max && !is_closed {
+            state.gate.note_attempt(now());
             return Reservation::Granted(self.grant(&mut state));
         }
         let (sender, receiver) = oneshot::channel();
         let key = WaiterKey { priority, ticket: state.next_ticket };
         state.next_ticket += 1;
         state.waiters.insert(key, sender);
-        let retry_at = full.then_some(state.full.until());
+        let retry_at = is_closed.then_some(state.gate.opens_at());
         Reservation::Queued(Waiter { key, receiver, retry_at })
     }
 
@@ -223,7 +234,7 @@
                 }
             }
         }
-        let crowded = state.full.is_crowded(now());
+        let crowded = state.gate.is_crowded(now());
         state.idle.extend(connection.filter(|_| !crowded));
     }
 }
--- a/crates/proxy/tests/direct_connections.rs
+++ b/crates/proxy/tests/direct_connections.rs
@@ -6,6 +6,7 @@
 use quincehatch_proxy::direct::SessionCommand;
 use quincehatch_proxy::direct::check_out::check_out;
 use quincehatch_proxy::direct::connection::SessionSettings;
+use quincehatch_proxy::ports::RejectReason;
 use quincehatch_runtime::{now, seam};
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -109,3 +110,21 @@
         .sum();
     assert_eq!(opened, 1);
 }
+
+/// A server whose queue was full stayed overloaded: statements took longer, so each node had more of them at once and
+/// opened more connections for them, and each new one took twice a statement's time of the server. In a fleet of 300 the
+/// busiest server rejected 114,000 of 253,000 arrivals, where nine tenths of its load would have fitted.
+#[tokio::test]
+async fn a_congested_server_is_asked_for_no_second_connection() {
+    let fixture = Fixture::new();
+    let mut session = fixture.session("orders").await;
+    let server = fixture.direct.proxy.registry.server("s1").unwrap();
+    let began = now();
+    assert_eq!(server.direct_pool.congested_until(), 0);
+    // The first attempt is rejected, and the second one takes the same connection.
+    fixture.inject("s1", Fault::Reject(RejectReason::Busy));
+    let response = execute(&mut session, read("x")).await;
+    assert!(response.result.is_ok(), "{response:?}");
+    assert!(server.direct_pool.congested_until() > began);
+    assert_eq!(fixture.group.with_server("s1", |server| server.connections_opened), 1);
+}
--- a/crates/simulator/src/control/node.rs
+++ b/crates/simulator/src/control/node.rs
@@ -92,12 +92,15 @@
                 }
             }
             Ok(Reply::Snapshot { snapshot, lease_ms }) => {
-                let newer = Some(*snapshot)
+                let newer = snapshot
+                    .unpack()
                     .filter(|snapshot| snapshot.last_change >= self.feed_state.last_change)
                     .and_then(FeedState::from_snapshot);
                 if let Some(known) = newer {
                     self.feed_state = known;
-                    self.lease_until = asked + minus_clock_drift(lease_ms);
+                    if lease_ms > 0 {
+                        self.lease_until = asked + minus_clock_drift(lease_ms);
+                    }
                 }
             }
             Ok(Reply::Redirect { view }) => {
--- a/crates/simulator/src/fleet/keeper.rs
+++ b/crates/simulator/src/fleet/keeper.rs
@@ -10,7 +10,9 @@
 use quincehatch_runtime::seam::{self, BoxFuture};
 use quincehatch_store::compression::PackedText;
 use quincehatch_store::keeper::{Input, Output};
-use quincehatch_store::{FeedSnapshot, Keeper, KeeperRequest, KeeperResponse, PeerMessage, Reply, Request};
+use quincehatch_store::{
+    FeedSnapshot, Keeper, KeeperRequest, KeeperResponse, PackedSnapshot, PeerMessage, Reply, Request,
+};
 use quincehatch_wire::{Identity, Received};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
@@ -124,7 +126,7 @@
         if stale_tail {
             let store = &running.keeper.store;
             let text = PackedText::pack(store.configuration().map_or("", |kept| &kept.text));
-            let snapshot = Box::new(FeedSnapshot::from_store(store, text));
+            let snapshot = PackedSnapshot::pack(&FeedSnapshot::from_store(store, text));
             let _ = tx.send(Reply::Snapshot { snapshot, lease_ms: STALE_TAIL_LEASE });
             return rx;
         }
--- a/crates/store/src/feed.rs
+++ b/crates/store/src/feed.rs
@@ -3,10 +3,12 @@
 
 mod entry_events;
 mod event;
+mod packed_snapshot;
 mod patch;
 mod state;
 
 pub use entry_events::AppliedEntry;
 pub use event::{Change, FeedEvent};
+pub use packed_snapshot::PackedSnapshot;
 pub use patch::{Patch, PatchPiece};
 pub use state::{FeedSnapshot, FeedState};
--- a/crates/store/src/keeper.rs
+++ b/crates/store/src/keeper.rs
@@ -22,6 +22,7 @@
 use crate::disk_usage::DiskUsage;
 use crate::dismissed_leases::DismissedLeases;
 use crate::entry_log::EntryLog;
+use crate::feed::PackedSnapshot;
 use crate::node_leases::NodeLeases;
 use crate::record::RecoveredState;
 use crate::register::{Acceptor, Proposer};
@@ -82,6 +83,8 @@
     recent_changes: RecentChanges,
     /// The configuration in force, packed once for all snapshots that carry it.
     packed_configuration: Option<PackedConfiguration>,
+    /// A snapshot that was packed for nodes lately.
+    packed_snapshot: Option<PackedSnapshot>,
     commit_times: CommitTimes,
     pending_writes: Vec<PendingWrite>,
     polls: Polls,
@@ -150,6 +153,7 @@
             disk_usage: DiskUsage::default(),
             recent_changes: RecentChanges::default(),
             packed_configuration: None,
+            packed_snapshot: None,
             commit_times: CommitTimes::default(),
             pending_writes: Vec::new(),
             polls: Polls::new(now),
--- a/crates/store/src/keeper/recent_changes.rs
+++ b/crates/store/src/keeper/recent_changes.rs
@@ -32,7 +32,8 @@
         self.reaches_back_to(last_change).then_some(bytes as u64)
     }
 
-    fn reaches_back_to(&self, last_change: ChangeNumber) -> bool {
+    /// Whether all changes that follow `last_change` are remembered.
+    pub fn reaches_back_to(&self, last_change: ChangeNumber) -> bool {
         self.0.front().is_some_and(|oldest| oldest.number <= last_change + 1)
     }
 
--- a/crates/store/src/keeper/snapshot_transfer.rs
+++ b/crates/store/src/keeper/snapshot_transfer.rs
@@ -122,6 +122,7 @@
         self.store = store;
         self.log.clear();
         self.recent_changes.clear();
+        self.packed_snapshot = None;
         self.committed = 0;
         self.in_force = 0;
         let record = Record::Snapshot { store: Box::new(self.store.clone()) };
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -35,7 +35,7 @@
 pub mod view;
 
 pub use command::{Answer, Command, Entry, PrimaryState};
-pub use feed::{Change, FeedEvent, FeedSnapshot, FeedState};
+pub use feed::{Change, FeedEvent, FeedSnapshot, FeedState, PackedSnapshot};
 pub use keeper::{DiscoverySettings, Input, Keeper, Output};
 pub use messages::{
     AcceptedView, DismissedLease, KeeperRequest, KeeperResponse, KeeperStatus, LeaseStatus, LogSize,
--- a/crates/store/src/messages/client.rs
+++ b/crates/store/src/messages/client.rs
@@ -2,7 +2,7 @@
 use super::peer::PeerMessage;
 use super::status::KeeperStatus;
 use crate::command::{Answer, Command};
-use crate::feed::{Change, FeedSnapshot};
+use crate::feed::{Change, PackedSnapshot};
 use crate::store::{AdoptedDocument, Store};
 use crate::view::{View, Voter};
 use quincehatch_core::{ChangeNumber, Error, Millis, Name, Version, messages};
@@ -86,8 +86,9 @@
         /// The state that nodes act on, if the tail's changes do not reach back far enough.
         Snapshot {
             /// The state.
-            snapshot: Box<FeedSnapshot>,
-            /// The term of the node's lease, from the time when the node sent its poll.
+            snapshot: PackedSnapshot,
+            /// The term of the node's lease, from the time when the node sent its poll; 0 if the snapshot lacks changes,
+            /// which the next poll brings.
             lease_ms: Millis
         },
         /// The whole store.
--- a/crates/store/tests/feed.rs
+++ b/crates/store/tests/feed.rs
@@ -85,7 +85,7 @@
                 assert!(changes.iter().all(|change| self.state.apply(change)));
             }
             Reply::Snapshot { snapshot, .. } => {
-                self.state = FeedState::from_snapshot(*snapshot).unwrap();
+                self.state = FeedState::from_snapshot(snapshot.unpack().unwrap()).unwrap();
             }
             other => panic!("{other:?}"),
         }
