--- a/crates/capacity/src/components/frames.rs
+++ b/crates/capacity/src/components/frames.rs
@@ -30,7 +30,7 @@
     let changes = vec![adopt(&mut store, groups, NEXT_ADOPTED)];
     FrameSizes {
         store: store_frame,
-        snapshot: frame_bytes(Reply::Snapshot { snapshot, lease_ms: LEASE_MS }),
+        snapshot: frame_bytes(Reply::PackedSnapshot { snapshot, lease_ms: LEASE_MS }),
         change: frame_bytes(Reply::Changes { changes, lease_ms: LEASE_MS }),
     }
 }
--- a/crates/capacity/src/tail_keeper/load.rs
+++ b/crates/capacity/src/tail_keeper/load.rs
@@ -172,7 +172,7 @@
 fn newest_change(reply: &Reply) -> u64 {
     match reply {
         Reply::Changes { changes, .. } => changes.last().map_or(0, |change| change.number),
-        Reply::Snapshot { snapshot, .. } => snapshot.last_change,
+        Reply::PackedSnapshot { snapshot, .. } => snapshot.last_change,
         _ => 0,
     }
 }
--- a/crates/node/src/feed/follower.rs
+++ b/crates/node/src/feed/follower.rs
@@ -127,7 +127,8 @@
         self.unanswered_polls = if reply.is_err() { self.unanswered_polls + 1 } else { 0 };
         let lease_ms = match reply {
             Ok(Reply::Changes { changes, lease_ms }) => self.apply_changes(&changes).then_some(lease_ms),
-            Ok(Reply::Snapshot { snapshot, lease_ms }) => {
+            Ok(Reply::Snapshot { snapshot, lease_ms }) => self.apply_snapshot(*snapshot).then_some(lease_ms),
+            Ok(Reply::PackedSnapshot { snapshot, lease_ms }) => {
                 let is_applied = snapshot.unpack().is_some_and(|snapshot| self.apply_snapshot(snapshot));
                 Some(lease_ms).filter(|lease_ms| is_applied && *lease_ms > 0)
             }
--- a/crates/simulator/src/control/call_kind.rs
+++ b/crates/simulator/src/control/call_kind.rs
@@ -32,7 +32,10 @@
             Reply::Answer { .. } => self == CallKind::Write,
             Reply::Store { .. } => self == CallKind::Read,
             Reply::Document { .. } => self == CallKind::Adopted,
-            Reply::Changes { .. } | Reply::Snapshot { .. } | Reply::NotEnrolled => self == CallKind::Feed,
+            Reply::Changes { .. }
+            | Reply::Snapshot { .. }
+            | Reply::PackedSnapshot { .. }
+            | Reply::NotEnrolled => self == CallKind::Feed,
             Reply::Redirect { .. } | Reply::Rejected { .. } => true,
         }
     }
--- a/crates/simulator/src/control/node.rs
+++ b/crates/simulator/src/control/node.rs
@@ -91,7 +91,7 @@
                     self.lease_until = asked + minus_clock_drift(lease_ms);
                 }
             }
-            Ok(Reply::Snapshot { snapshot, lease_ms }) => {
+            Ok(Reply::PackedSnapshot { snapshot, lease_ms }) => {
                 let newer = snapshot
                     .unpack()
                     .filter(|snapshot| snapshot.last_change >= self.feed_state.last_change)
--- a/crates/simulator/src/fleet/keeper.rs
+++ b/crates/simulator/src/fleet/keeper.rs
@@ -127,7 +127,7 @@
             let store = &running.keeper.store;
             let text = PackedText::pack(store.configuration().map_or("", |kept| &kept.text));
             let snapshot = PackedSnapshot::pack(&FeedSnapshot::from_store(store, text));
-            let _ = tx.send(Reply::Snapshot { snapshot, lease_ms: STALE_TAIL_LEASE });
+            let _ = tx.send(Reply::PackedSnapshot { snapshot, lease_ms: STALE_TAIL_LEASE });
             return rx;
         }
         running.next_token += 1;
--- a/crates/store/src/keeper/feed_updates.rs
+++ b/crates/store/src/keeper/feed_updates.rs
@@ -26,7 +26,7 @@
         let is_newest = self.snapshot_for_nodes().last_change == self.store.last_change;
         let lease_ms = if is_newest { lease_ms } else { NO_LEASE };
         let snapshot = self.snapshot_for_nodes().clone();
-        Reply::Snapshot { snapshot, lease_ms }
+        Reply::PackedSnapshot { snapshot, lease_ms }
     }
 
     /// The bytes, more or less, of what a node is sent that has applied `last_change`.
--- a/crates/store/src/messages/client.rs
+++ b/crates/store/src/messages/client.rs
@@ -2,7 +2,7 @@
 use super::peer::PeerMessage;
 use super::status::KeeperStatus;
 use crate::command::{Answer, Command};
-use crate::feed::{Change, PackedSnapshot};
+use crate::feed::{Change, FeedSnapshot, PackedSnapshot};
 use crate::store::{AdoptedDocument, Store};
 use crate::view::{View, Voter};
 use quincehatch_core::{ChangeNumber, Error, Millis, Name, Version, messages};
@@ -83,12 +83,11 @@
             /// The term of the node's lease, from the time when the node sent its poll.
             lease_ms: Millis
         },
-        /// The state that nodes act on, if the tail's changes do not reach back far enough.
+        /// The state that nodes act on, as keepers of earlier versions send it.
         Snapshot {
             /// The state.
-            snapshot: PackedSnapshot,
-            /// The term of the node's lease, from the time when the node sent its poll; 0 if the snapshot lacks changes,
-            /// which the next poll brings.
+            snapshot: Box<FeedSnapshot>,
+            /// The term of the node's lease, from the time when the node sent its poll.
             lease_ms: Millis
         },
         /// The whole store.
@@ -124,6 +123,14 @@
         Rejected {
             /// Why.
             error: Error
+        },
+        /// The state that nodes act on, if the tail's changes do not reach back far enough.
+        PackedSnapshot {
+            /// The state.
+            snapshot: PackedSnapshot,
+            /// The term of the node's lease, from the time when the node sent its poll; 0 if the snapshot lacks changes,
+            /// which the next poll brings.
+            lease_ms: Millis
         }
     }
 }
--- a/crates/store/src/stale_reply.rs
+++ b/crates/store/src/stale_reply.rs
@@ -8,15 +8,21 @@
 /// elsewhere; the outcome of a write that was committed under that lease is unknown, and the write is to be repeated.
 pub(crate) fn without_lease(reply: Reply, view: &View) -> Reply {
     match reply {
-        Reply::Changes { .. } | Reply::Snapshot { .. } | Reply::Store { .. } | Reply::Document { .. } => {
-            Reply::Redirect { view: view.clone() }
-        }
+        Reply::Changes { .. }
+        | Reply::Snapshot { .. }
+        | Reply::PackedSnapshot { .. }
+        | Reply::Store { .. }
+        | Reply::Document { .. } => Reply::Redirect { view: view.clone() },
         Reply::Answer { .. } => {
             let error = ErrorCode::ChainUnavailable
                 .with_detail("the lease ended while the disk was written")
                 .with_unknown_outcome();
             Reply::Rejected { error: error.with_retry_after(RETRY_PENDING_AFTER) }
         }
-        other => other,
+        // Each variant is named: a new one that rests on the lease must not be let through.
+        Reply::NotEnrolled | Reply::Redirect { .. } | Reply::Status { .. } | Reply::Rejected { .. } => reply,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/store/tests/feed.rs
+++ b/crates/store/tests/feed.rs
@@ -84,7 +84,7 @@
             Reply::Changes { changes, .. } => {
                 assert!(changes.iter().all(|change| self.state.apply(change)));
             }
-            Reply::Snapshot { snapshot, .. } => {
+            Reply::PackedSnapshot { snapshot, .. } => {
                 self.state = FeedState::from_snapshot(snapshot.unpack().unwrap()).unwrap();
             }
             other => panic!("{other:?}"),
@@ -156,7 +156,7 @@
     follower.cluster.run_for(8_000);
     let reply = follower.poll(0);
     let size = borsh::to_vec(&reply).unwrap().len();
-    assert_matches!(&reply, Reply::Snapshot { snapshot, .. } if snapshot.configuration_version == 12);
+    assert_matches!(&reply, Reply::PackedSnapshot { snapshot, .. } if snapshot.configuration_version == 12);
     assert!(size < 40_000, "{size} bytes");
 }
 
--- a/crates/store/tests/large_fleet.rs
+++ b/crates/store/tests/large_fleet.rs
@@ -125,7 +125,7 @@
             Reply::Changes { changes, .. } => {
                 follower.last_change = changes.last().map_or(follower.last_change, |change| change.number);
             }
-            Reply::Snapshot { snapshot, .. } => follower.last_change = snapshot.last_change,
+            Reply::PackedSnapshot { snapshot, .. } => follower.last_change = snapshot.last_change,
             // It has waited long for a long answer.
             Reply::Redirect { .. } => {}
             other => panic!("{other:?}"),
--- a/crates/store/tests/node_lease_takeover.rs
+++ b/crates/store/tests/node_lease_takeover.rs
@@ -86,7 +86,7 @@
     assert_matches!(cluster.reply_to(4), Some(Reply::NotEnrolled));
     cluster.poll("n1", 5, next, 0);
     cluster.run_for(40);
-    assert_matches!(cluster.reply_to(5), Some(Reply::Changes { .. } | Reply::Snapshot { .. }));
+    assert_matches!(cluster.reply_to(5), Some(Reply::Changes { .. } | Reply::PackedSnapshot { .. }));
 }
 
 /// The node was dismissed while it held a lease, and then the tail was lost: its lease counts all the same.
