An enrollment that is not answered is sent again under its key

Cause: a node that had no answer in two seconds enrolled with a new key; the store may have taken the first one, and the second overtakes it, so the node's poll is not enrolled, and each attempt is a change that all nodes are sent. Change: the key's number rises only when the tail says that the process is not enrolled.

--- a/crates/node/src/feed/enrollment.rs
+++ b/crates/node/src/feed/enrollment.rs
@@ -11,11 +11,12 @@
 /// A node that leaves does not wait longer to say so: its lease runs out anyway.
 const DISMISS_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Enrolls this process. Returns the number of the store entry that did so; 0 if the store did not answer.
-pub(super) async fn enroll(node: &Node, attempt: u64) -> ChangeNumber {
+/// Enrolls this process for the `count`th time. Returns the number of the store entry that did so; 0 if the store did not
+/// answer.
+pub(super) async fn enroll(node: &Node, count: u64) -> ChangeNumber {
     let name = Name::from(node.proxy.settings.name.as_str());
     let incarnation = seam::incarnation();
-    let key = format!("enroll/{name}/{incarnation:x}/{attempt}");
+    let key = format!("enroll/{name}/{incarnation:x}/{count}");
     let command = Command::EnrollNode { node: name, incarnation };
     match node.store_client.write(&key, command, ENROLL_TIMEOUT).await {
         Ok(Answer::Enrolled(number)) => number,
--- a/crates/node/src/feed/follower.rs
+++ b/crates/node/src/feed/follower.rs
@@ -44,7 +44,9 @@
     tail: String,
     /// The entry that enrolled this process; 0 while it is not enrolled.
     enrollment: ChangeNumber,
-    enroll_attempts: u64,
+    /// Enrollments of this process so far, the one under way included. An attempt that is not answered is sent again under
+    /// the same number: the store may have taken it, and another enrollment would overtake it.
+    enrollments: u64,
     had_lease: bool,
     /// Polls at this tail that were not answered in time, one after the other.
     unanswered_polls: u32,
@@ -58,7 +60,7 @@
             tail: node.store_client.tail_address(),
             node,
             enrollment: 0,
-            enroll_attempts: 0,
+            enrollments: 1,
             had_lease: false,
             unanswered_polls: 0,
             published_servers: BTreeMap::new(),
@@ -70,8 +72,7 @@
     }
 
     async fn enroll(&mut self) {
-        self.enroll_attempts += 1;
-        self.enrollment = enroll(&self.node, self.enroll_attempts).await;
+        self.enrollment = enroll(&self.node, self.enrollments).await;
         self.node.enrollment.store(self.enrollment, Ordering::SeqCst);
     }
 
@@ -139,6 +140,7 @@
             }
             Ok(Reply::NotEnrolled) => {
                 self.enrollment = 0;
+                self.enrollments += 1;
                 None
             }
             Ok(_) | Err(_) => {
