--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -124,7 +124,7 @@
 /// the cluster.
 async fn shut_down(node: &Arc<Node>) {
     log::info!(target: "node", "stopping: no new requests are taken");
-    node.proxy.registry.stopping.store(true, Ordering::SeqCst);
+    node.begin_stop();
     tokio::time::sleep(NOT_READY_NOTICE).await;
     let deadline = now() + STOP_TIMEOUT_MS;
     while now() < deadline && has_work(node) {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -8,7 +8,7 @@
 use quincehatch_proxy::ports::ServerPorts;
 use quincehatch_runtime::seam::Spawner;
 use quincehatch_store::FeedState;
-use std::sync::atomic::{AtomicBool, AtomicU64};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
 /// A node with its planes.
@@ -53,6 +53,11 @@
         })
     }
 
+    /// Begins the orderly end of this node: it takes no new work from here on.
+    pub fn begin_stop(&self) {
+        self.proxy.registry.stopping.store(true, Ordering::SeqCst);
+    }
+
     /// Whether servers are direct: reached over their own protocol, with synchronous replicas.
     pub fn has_direct_servers(&self) -> bool {
         self.ports.is_some()
