A node that begins to stop tells the others at once, who take over its duties

Cause: a stopping node began no promotion but stayed a live member until it ended, up to eight seconds later while replies were pending; the promotion duties that it owned were nobody's so long. Change: it says that it leaves when it begins to stop. Whoever counts work in flight for a planned handover asks it still, until it is dismissed; reports of what was acknowledged are asked of all lease holders, as before.

--- a/crates/gossip/src/membership/state.rs
+++ b/crates/gossip/src/membership/state.rs
@@ -164,7 +164,7 @@
     }
 
     /// Names of the members whose status satisfies `condition`, in order of name.
-    pub(super) fn names_with_status(&self, condition: impl Fn(MemberStatus) -> bool) -> Vec<Name> {
+    pub fn names_with_status(&self, condition: impl Fn(MemberStatus) -> bool) -> Vec<Name> {
         let members = self.members.values().filter(|member| condition(member.record.status));
         members.map(|member| member.record.name.clone()).collect()
     }
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -67,6 +67,11 @@
         self.live_names().into_iter().filter(|name| *name != self.local_name).collect()
     }
 
+    /// The names of the nodes that have said that they leave.
+    pub fn leaving_names(&self) -> Vec<Name> {
+        self.membership.lock().unwrap().names_with_status(|status| status == MemberStatus::Left)
+    }
+
     /// Asks one node. Fails if it is not known, or does not answer in time.
     pub async fn query(&self, node: &str, query: NodeQuery) -> Result<NodeReply, Error> {
         let addr = self.membership.lock().unwrap().addr(node);
@@ -108,14 +113,19 @@
         });
     }
 
-    /// Tells some nodes that this one leaves.
-    pub async fn announce_leave(self: &Arc<Self>) {
+    /// Tells the other nodes that this one leaves.
+    pub fn send_leave(self: &Arc<Self>) {
         let actions = self.membership.lock().unwrap().leave();
         for action in actions {
             if let GossipAction::Send(to, message) = action {
                 self.send(to, message);
             }
         }
+    }
+
+    /// Tells the other nodes once more, and waits until the messages have gone out.
+    pub async fn announce_leave(self: &Arc<Self>) {
+        self.send_leave();
         seam::sleep(LEAVE_PAUSE).await;
     }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -53,9 +53,11 @@
         })
     }
 
-    /// Begins the orderly end of this node: it takes no new work from here on.
+    /// Begins the orderly end of this node: it takes no new work from here on, and tells the others that it leaves. They
+    /// own its singleton duties at once: it fulfils none any more, and may wait seconds for what is under way.
     pub fn begin_stop(&self) {
         self.proxy.registry.stopping.store(true, Ordering::SeqCst);
+        self.gossip.send_leave();
     }
 
     /// Whether servers are direct: reached over their own protocol, with synchronous replicas.
--- a/crates/node/src/promotion/execution.rs
+++ b/crates/node/src/promotion/execution.rs
@@ -167,7 +167,11 @@
 /// Nodes that do not answer may have work in flight; the promotion's own timeout ends the wait for them.
 async fn count_in_flight(node: &Node, group: &Name) -> PromotionEvent {
     let query = NodeQuery::InFlight { group: group.clone() };
-    let replies = node.gossip.query_all(node.gossip.live_names(), query).await;
+    let mut names = node.gossip.live_names();
+    // A node that leaves is dismissed once it has no work in flight.
+    let enrolled = node.feed_state.lock().unwrap().nodes.clone();
+    names.extend(node.gossip.leaving_names().into_iter().filter(|name| enrolled.contains_key(name)));
+    let replies = node.gossip.query_all(names, query).await;
     let is_idle = |reply: &Option<NodeReply>| matches!(reply, Some(NodeReply::InFlight { count: 0 }));
     let all_idle = replies.iter().all(|(_, reply)| is_idle(reply));
     if all_idle { PromotionEvent::Drained } else { PromotionEvent::Tick }
