An idle connection makes room for a new one at a listener that is full

Cause: a listener stopped accepting at its limit while callers kept connections idle for ever, up to eight for each address. In a fleet of 300 nodes the places of a keeper (1,024) and of a node (512) were all taken by callers that wanted nothing; a keeper that had to tell its peers something, or a probe, waited behind them. Change: the connection that has been idle for longest is closed for a new one; if a request is answered on each, the new one is closed at once.

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -18,6 +18,7 @@
 mod frame;
 pub mod http;
 mod identity;
+mod open_connections;
 mod server;
 pub mod traffic;
 
