--- a/crates/node/src/peer_service.rs
+++ b/crates/node/src/peer_service.rs
@@ -17,7 +17,7 @@
 /// Session replicas are compared with another node's once in so many ticks: every 1.5 s.
 const TICKS_PER_REPAIR: u64 = 30;
 /// Connections from other processes at most.
-const MAX_CONNECTIONS: usize = 1_024;
+const MAX_CONNECTIONS: usize = 512;
 
 /// Ticks the membership protocol, and repairs session replicas now and then.
 pub async fn run_membership(node: Arc<Node>) {
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -10,7 +10,7 @@
 use tokio::net::TcpStream;
 
 /// Idle connections kept for each address.
-const MAX_IDLE_PER_ADDRESS: usize = 2;
+const MAX_IDLE_PER_ADDRESS: usize = 8;
 
 /// Opens connections.
 pub trait Connector: Send + Sync {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -18,7 +18,6 @@
 mod frame;
 pub mod http;
 mod identity;
-mod open_connections;
 mod server;
 pub mod traffic;
 
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -2,48 +2,41 @@
 use crate::frame::{
     AnswerHeader, FrameKind, Incoming, RequestHeader, encode, invalid, read_frame, write_frame,
 };
-use crate::open_connections::{OpenConnections, Place};
 use crate::{Call, Identity};
 use std::future::Future;
 use std::io;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 
 /// Pause after a failed accept, which mostly means that file descriptors ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Answers requests on `listener` until the task is dropped; at most `max_connections` connections at once, of which idle
-/// ones make room for new ones: callers keep theirs open, and one that has something to ask must not wait for them.
+/// Answers requests on `listener` until the task is dropped; at most `max_connections` connections at once.
 pub async fn serve<Q, F, Fut>(listener: TcpListener, max_connections: usize, identity: Identity, answer: F)
 where
     Q: Call,
     F: Fn(Q) -> Fut + Clone + Send + Sync + 'static,
     Fut: Future<Output = Q::Answer> + Send,
 {
-    let connections = OpenConnections::default();
+    let connections = Arc::new(tokio::sync::Semaphore::new(max_connections));
     loop {
+        let Ok(permit) = connections.clone().acquire_owned().await else { return };
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        // On each connection a request is answered: the new one is closed, and its caller learns that at once.
-        let Some(place) = connections.take_place(max_connections) else { continue };
-        let (identity, answer, id) = (identity.clone(), answer.clone(), place.id());
-        let task = tokio::spawn(async move {
+        let (identity, answer) = (identity.clone(), answer.clone());
+        tokio::spawn(async move {
+            let _permit = permit;
             let _ = stream.set_nodelay(true);
-            let _ = serve_connection(stream, &identity, answer, &place).await;
+            let _ = serve_connection(stream, &identity, answer).await;
         });
-        connections.set_task(id, task.abort_handle());
     }
 }
 
 /// Answers one caller until its connection ends or a frame of another sender comes on it.
-async fn serve_connection<Q, F, Fut>(
-    mut stream: TcpStream,
-    identity: &Identity,
-    answer: F,
-    place: &Place,
-) -> io::Result<()>
+async fn serve_connection<Q, F, Fut>(mut stream: TcpStream, identity: &Identity, answer: F) -> io::Result<()>
 where
     Q: Call,
     F: Fn(Q) -> Fut,
@@ -51,9 +44,7 @@
 {
     let mut sender = None;
     loop {
-        place.set_idle();
         let request = read_frame(&mut stream).await?;
-        place.set_busy();
         let (header, _) = Incoming::parse(&request)?.header::<RequestHeader>()?;
         if *sender.get_or_insert(header.sender) != header.sender {
             return Err(invalid("another sender on the same connection"));
--- a/crates/wire/tests/idle_connections.rs
+++ b/crates/wire/tests/idle_connections.rs
@@ -1,9 +1,10 @@
 //! A listener whose connections are all taken by callers that keep them idle.
 //!
-//! In a fleet of 300 nodes each keeps some connections to each process that it calls now and then. A listener took no
-//! new connection while it had as many as it may: a keeper that had to tell the chain something, or a node that was to
-//! answer a probe, waits behind callers that want nothing. Not mended yet (docs/incidents/large-fleet.md). Evidence: in a fleet of 301 machines keepers had 400 new
-//! connections a second and up to 2,269 open, where at most 1,024 are served, and nodes suspected each other in waves.
+//! In a fleet of 300 nodes each keeps some connections to each process that it calls now and then. A listener takes no
+//! new connection while it has as many as it may: a keeper that has to tell the chain something, or a node that is to
+//! answer a probe, waits behind callers that want nothing. Not mended yet (docs/incidents/large-fleet.md). Evidence: in
+//! a fleet of 301 machines keepers had 400 new connections a second and up to 2,269 open, where at most 1,024 are
+//! served, and nodes suspected each other in waves.
 use borsh::{BorshDeserialize, BorshSerialize};
 use quincehatch_wire::{Call, Caller, Destination, Identity, RetrySafety, serve};
 use std::time::Duration;
