Tenants and keys: connections belong to a tenant, keys are checked at each statement

Clients of all tenants shared the connections to a server. Change: the configuration has tenants with digests of their keys, routes may be public, and keys may be required. A session holds the digest of its key, which is looked up at each statement, also in an open transaction and after a wait; without a lease no key counts.

--- a/crates/capacity/src/idle_sessions.rs
+++ b/crates/capacity/src/idle_sessions.rs
@@ -10,6 +10,7 @@
 use quincehatch_proxy::direct::{DirectProxy, DirectSession, SessionCommand, SessionRequest};
 use quincehatch_proxy::registry::ClusterState;
 use quincehatch_proxy::session::replicas::LocalOnlyReplicas;
+use quincehatch_proxy::tenants::ClientKey;
 use quincehatch_runtime::now;
 use quincehatch_runtime::seam::Spawner;
 use std::io;
@@ -72,6 +73,7 @@
         configuration: Configuration::parse(&configuration_text(1, 0)).ok().map(Arc::new),
         primaries: [(group_name(0), primary)].into(),
         route_by_database: Arc::new([(DATABASE.into(), 0)].into()),
+        tenants: Arc::default(),
     });
     proxy.registry.renew_lease(now() + LEASE_MS);
     DirectProxy::new(proxy, Arc::new(StubServers::default()))
@@ -84,7 +86,7 @@
     let mut clients = Vec::with_capacity(count);
     for _ in 0..count {
         let (client, accepted) = tokio::join!(TcpStream::connect(addr), listener.accept());
-        let session = DirectSession::open(proxy, DATABASE).await;
+        let session = DirectSession::open(proxy, DATABASE, ClientKey::NONE).await;
         let session = session.map_err(|error| io::Error::other(error.to_string()))?;
         let (server_end, _peer) = accepted?;
         tokio::spawn(serve_client(server_end, session));
--- a/crates/capacity/src/stub_servers.rs
+++ b/crates/capacity/src/stub_servers.rs
@@ -2,11 +2,10 @@
 use bytes::Bytes;
 use quincehatch_core::{FencingToken, Name, Position, Role};
 use quincehatch_proxy::ports::{
-    OpenResult, OpenedConnection, Promoter, PromotionOutcome, ServerCall, ServerConnection, ServerConnector,
-    ServerPorts, ServerReply, ServerStatus,
+    ConnectRequest, OpenResult, OpenedConnection, Promoter, PromotionOutcome, ServerCall, ServerConnection,
+    ServerConnector, ServerPorts, ServerReply, ServerStatus,
 };
 use quincehatch_runtime::seam::BoxFuture;
-use quincehatch_wire::http::KeepaliveSettings;
 use std::io;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -41,14 +40,8 @@
 }
 
 impl ServerConnector for StubServers {
-    fn connect(
-        &self,
-        _group: Name,
-        _addr: Name,
-        server: Name,
-        _keepalive: KeepaliveSettings,
-    ) -> BoxFuture<'static, io::Result<OpenResult>> {
-        let role = if server.ends_with(PRIMARY_SUFFIX) { Role::Primary } else { Role::Replica };
+    fn connect(&self, request: ConnectRequest) -> BoxFuture<'static, io::Result<OpenResult>> {
+        let role = if request.server.ends_with(PRIMARY_SUFFIX) { Role::Primary } else { Role::Replica };
         let connection: Box<dyn ServerConnection> =
             Box::new(StubConnection { calls: self.calls.clone(), role });
         Box::pin(async move { Ok(Ok(OpenedConnection { connection, log_end: None })) })
--- a/crates/config/src/configuration/mod.rs
+++ b/crates/config/src/configuration/mod.rs
@@ -6,6 +6,7 @@
 mod placement;
 mod queue;
 mod route;
+mod tenant;
 mod zone;
 
 pub use connections::ConnectionLimits;
@@ -15,6 +16,7 @@
 pub use placement::{Placement, Selector};
 pub use queue::QueueLimits;
 pub use route::{LOOKUP_CLASS, ORDER_CLASS, Route};
+pub use tenant::Tenant;
 pub use zone::Zone;
 
 use crate::{deprecated_keys, document, schema_error};
@@ -59,6 +61,18 @@
     #[setting(nested, rename = "queue")]
     #[serde(rename = "holding")]
     pub queue: QueueLimits,
+    /// Who may use the routes. Their keys are needed where `require_keys` says so.
+    #[setting(nested)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub tenants: Vec<Tenant>,
+    /// Whether a client needs a tenant's key on every route that is not public.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub require_keys: bool,
+}
+
+/// What is at its default is left out of the stored form, which earlier releases read.
+fn is_false(value: &bool) -> bool {
+    !value
 }
 
 impl Configuration {
--- a/crates/config/src/configuration/route.rs
+++ b/crates/config/src/configuration/route.rs
@@ -39,4 +39,7 @@
     /// Of the requests that wait, those with the lowest number go first.
     #[setting(default = 1)]
     pub priority: u64,
+    /// Clients need no key here though the configuration requires keys.
+    #[serde(default, skip_serializing_if = "super::is_false")]
+    pub public: bool,
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod configuration;
 pub mod deprecated_keys;
 mod document;
+pub mod key_digest;
 pub mod objects;
 mod schema_error;
 pub mod settings;
--- a/crates/config/src/validation/mod.rs
+++ b/crates/config/src/validation/mod.rs
@@ -3,6 +3,7 @@
 mod mistakes;
 mod placements;
 mod routes;
+mod tenants;
 mod unreachable_routes;
 mod zones;
 
@@ -18,6 +19,7 @@
         routes::check(self, &mut mistakes);
         limits::check_groups(self, &mut mistakes);
         zones::check_selectors(self, &mut mistakes);
+        tenants::check(self, &mut mistakes);
         limits::check_sections(self, &mut mistakes);
         mistakes.into_list()
     }
--- a/crates/core/src/error_code.rs
+++ b/crates/core/src/error_code.rs
@@ -43,6 +43,7 @@
     MissingIdempotencyKey = 1005, 400, "a write needs an idempotency key";
     IdempotencyKeyReused = 1006, 409, "this idempotency key was used with other content";
     Unauthorized = 1007, 401, "the operator token is missing or wrong";
+    Unauthenticated = 1008, 401, "the key is missing or is no tenant's";
     NoRoute = 1101, 422, "no route of the configuration matches this request";
     NoPlacement = 1102, 503, "no server of the placement is known";
     SessionUnknown = 1201, 404, "no such session";
@@ -56,6 +57,7 @@
     QueueFull = 1301, 503, "too many requests are queued already";
     DeadlinePassed = 1302, 504, "the deadline passed before a reply arrived";
     ConnectionsBusy = 1303, 503, "no connection came free in time";
+    QuotaExceeded = 1304, 429, "the tenant has run as many operations as it may";
     ServerFailed = 1401, 502, "the server or the connection to it failed";
     ServerRejected = 1402, 409, "the server rejected the statement";
     AllReplicasEjected = 1403, 503, "every replica is ejected and the primary's share for reads is in use";
--- a/crates/node/src/feed/cluster_state.rs
+++ b/crates/node/src/feed/cluster_state.rs
@@ -4,6 +4,7 @@
 use quincehatch_config::configuration::Configuration;
 use quincehatch_core::{Name, ServerRecord};
 use quincehatch_proxy::registry::ClusterState;
+use quincehatch_proxy::tenants::TenantDirectory;
 use quincehatch_store::FeedState;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -32,13 +33,20 @@
         .map_err(|error| log::error!(target: "feed", "version {version} cannot be read: {error}"))
         .ok();
     let route_by_database = configuration.as_ref().map(route_by_database).unwrap_or_default();
-    log::info!(target: "feed", "version {version} is in force from change {number} on");
+    let tenants = configuration.as_ref().map(TenantDirectory::of).unwrap_or_default();
+    let (tenant_count, key_count) =
+        (configuration.as_ref().map_or(0, |configuration| configuration.tenants.len()), tenants.key_count());
+    log::info!(
+        target: "feed",
+        "version {version} is in force from change {number} on, with {tenant_count} tenants and {key_count} keys"
+    );
     ClusterState {
         number,
         version,
         configuration: configuration.map(Arc::new),
         primaries,
         route_by_database: Arc::new(route_by_database),
+        tenants: Arc::new(tenants),
     }
 }
 
--- a/crates/node/src/promotion/direct/server_calls.rs
+++ b/crates/node/src/promotion/direct/server_calls.rs
@@ -2,7 +2,7 @@
 use super::server_statuses::StatusSample;
 use crate::node::Node;
 use quincehatch_core::{Name, Position, Role};
-use quincehatch_proxy::ports::{RejectReason, ServerCall, ServerReply, ServerStatus};
+use quincehatch_proxy::ports::{ConnectRequest, RejectReason, ServerCall, ServerReply, ServerStatus};
 use quincehatch_proxy::registry::ServerEntry;
 use quincehatch_runtime::{now, seam};
 use quincehatch_wire::http::KeepaliveSettings;
@@ -61,8 +61,14 @@
         return Ok(reply);
     }
     let ports = node.ports.clone().ok_or_else(|| io::Error::from(io::ErrorKind::Unsupported))?;
-    let keepalive = KeepaliveSettings::default();
-    match ports.servers.connect(addr.clone(), group, server.clone(), keepalive).await? {
+    let request = ConnectRequest {
+        addr: addr.clone(),
+        group,
+        server: server.clone(),
+        tenant: None,
+        keepalive: KeepaliveSettings::default(),
+    };
+    match ports.servers.connect(request).await? {
         Ok(mut opened) => {
             let reply = opened.connection.call(call).await?;
             statuses.keep_connection(server, addr, opened.connection);
--- a/crates/node/tests/metrics.rs
+++ b/crates/node/tests/metrics.rs
@@ -1,14 +1,12 @@
 //! The metrics of a node that has just begun, and their bounds.
 use quincehatch_config::settings::NodeSettings;
-use quincehatch_core::Name;
 use quincehatch_failover::promotion::Phase;
 use quincehatch_metrics::render;
 use quincehatch_node::Node;
 use quincehatch_node::metrics::node_metrics;
 use quincehatch_proxy::direct::DirectProxy;
-use quincehatch_proxy::ports::{OpenResult, ServerConnector};
+use quincehatch_proxy::ports::{ConnectRequest, OpenResult, ServerConnector};
 use quincehatch_runtime::seam::BoxFuture;
-use quincehatch_wire::http::KeepaliveSettings;
 use std::sync::Arc;
 
 fn settings() -> NodeSettings {
@@ -31,13 +29,7 @@
 struct NoServers;
 
 impl ServerConnector for NoServers {
-    fn connect(
-        &self,
-        _: Name,
-        _: Name,
-        _: Name,
-        _: KeepaliveSettings,
-    ) -> BoxFuture<'static, std::io::Result<OpenResult>> {
+    fn connect(&self, _: ConnectRequest) -> BoxFuture<'static, std::io::Result<OpenResult>> {
         Box::pin(async { Err(std::io::ErrorKind::ConnectionRefused.into()) })
     }
 }
--- a/crates/proxy/src/direct/begin.rs
+++ b/crates/proxy/src/direct/begin.rs
@@ -1,6 +1,6 @@
 //! Beginning a transaction: choosing the server whose connection it keeps.
 use super::DirectProxy;
-use super::check_out::check_out;
+use super::check_out::{CheckoutRequest, check_out};
 use super::connection::{Connection, ConnectionError, SessionSettings};
 use super::monitored_call::CallContext;
 use super::pool::Checkout;
@@ -50,6 +50,7 @@
         let mut backoff = Backoff::default();
         let mut last_error = ErrorCode::ConnectionsBusy.without_detail();
         loop {
+            direct.check_tenant(&self.route)?;
             let mut in_flight = None;
             let target = if on_any_server {
                 choose_read_target(direct, &self.route, &tried, false)
@@ -105,12 +106,14 @@
         deadlines: Deadlines,
     ) -> BeginAttempt {
         let (route, server) = (&self.route, &target.server);
-        let mut checkout = match check_out(direct, server, settings, route.priority, deadlines.start_by).await
-        {
+        let request = CheckoutRequest::new(route, settings, deadlines.start_by);
+        let mut checkout = match check_out(direct, server, request).await {
             Ok(checkout) => checkout,
             Err(error) => return BeginAttempt::Retry(error.code().without_detail()),
         };
-        if target.is_primary() && fence_if_accepting(direct, &route.group, server).is_none() {
+        let was_replaced = target.is_primary() && fence_if_accepting(direct, &route.group, server).is_none();
+        // Its key may have been revoked while it waited.
+        if was_replaced || direct.check_tenant(route).is_err() {
             checkout.check_in();
             return BeginAttempt::NotStarted;
         }
--- a/crates/proxy/src/direct/check_out.rs
+++ b/crates/proxy/src/direct/check_out.rs
@@ -2,10 +2,11 @@
 use super::DirectProxy;
 use super::connection::{Connection, SessionSettings};
 use super::pool::{Checkout, DirectPool, Handover, IdleConnection, Reservation, Waiter};
+use super::route::ResolvedRoute;
 use crate::evidence::{HealthSignal, classify_end};
-use crate::ports::RejectReason;
+use crate::ports::{ConnectRequest, RejectReason};
 use crate::registry::ServerEntry;
-use quincehatch_core::{ErrorCode, Millis};
+use quincehatch_core::{ErrorCode, Millis, Name};
 use quincehatch_runtime::now;
 use quincehatch_runtime::seam;
 use std::io;
@@ -36,24 +37,44 @@
     }
 }
 
-/// Checks a connection to `server` out, waiting for one until `until`. One with these settings is preferred.
+/// Which connection is wanted.
+#[derive(Clone, Copy)]
+pub struct CheckoutRequest<'a> {
+    /// For whom statements will run on it.
+    pub tenant: Option<&'a Name>,
+    /// One with these settings is preferred.
+    pub settings: &'a SessionSettings,
+    /// Among those that wait, the lowest is served first.
+    pub priority: u64,
+    /// Waiting is given up then.
+    pub until: Millis,
+}
+
+impl<'a> CheckoutRequest<'a> {
+    /// For statements that follow a route.
+    pub(super) fn new(route: &'a ResolvedRoute, settings: &'a SessionSettings, until: Millis) -> Self {
+        CheckoutRequest { tenant: route.tenant.as_ref(), settings, priority: route.priority, until }
+    }
+}
+
+/// Checks a connection to `server` out. One that another tenant used is never handed out: a server learns the tenant
+/// once, when the connection is opened.
 ///
 /// # Errors
 /// A [`CheckoutError`]; also when opening a connection failed, as the caller may prefer another server then.
 pub async fn check_out(
     direct: &DirectProxy,
     server: &Arc<ServerEntry>,
-    settings: &SessionSettings,
-    priority: u64,
-    until: Millis,
+    request: CheckoutRequest<'_>,
 ) -> Result<Checkout, CheckoutError> {
+    let CheckoutRequest { tenant, settings, priority, until } = request;
     let pool = &server.direct_pool;
     let max = direct.connection_share(&server.group()).max;
     loop {
-        if let Some(checkout) = check_out_idle(direct, server, settings) {
+        if let Some(checkout) = check_out_idle(direct, server, tenant, settings) {
             return Ok(checkout);
         }
-        let permit = match pool.reserve(max, priority) {
+        let permit = match pool.reserve(max, priority, tenant) {
             Reservation::Granted(permit) => permit,
             Reservation::Queued(waiter) => match wait(pool, waiter, until).await {
                 Some(Handover { connection: Some(connection), permit }) => {
@@ -64,7 +85,7 @@
                 None => continue,
             },
         };
-        let connection = open(direct, server).await?;
+        let connection = open(direct, server, tenant).await?;
         return Ok(Checkout::new(connection, permit));
     }
 }
@@ -73,10 +94,11 @@
 fn check_out_idle(
     direct: &DirectProxy,
     server: &Arc<ServerEntry>,
+    tenant: Option<&Name>,
     settings: &SessionSettings,
 ) -> Option<Checkout> {
     loop {
-        match server.direct_pool.take_idle(settings) {
+        match server.direct_pool.take_idle(tenant, settings) {
             IdleConnection::Usable(checkout) => return Some(checkout),
             IdleConnection::None => return None,
             IdleConnection::Broken(error) => {
@@ -100,16 +122,25 @@
     waiter.receiver.try_recv().ok()
 }
 
-async fn open(direct: &DirectProxy, server: &Arc<ServerEntry>) -> Result<Connection, CheckoutError> {
+async fn open(
+    direct: &DirectProxy,
+    server: &Arc<ServerEntry>,
+    tenant: Option<&Name>,
+) -> Result<Connection, CheckoutError> {
     let asked_at = now();
-    let settings = direct.keepalive_settings();
-    let opening = direct.servers.connect(server.addr(), server.group(), server.name.clone(), settings);
+    let opening = direct.servers.connect(ConnectRequest {
+        addr: server.addr(),
+        group: server.group(),
+        server: server.name.clone(),
+        tenant: tenant.cloned(),
+        keepalive: direct.keepalive_settings(),
+    });
     match seam::timeout(Duration::from_millis(OPEN_TIMEOUT), opening).await {
         Ok(Ok(Ok(opened))) => {
             server.note_answer(asked_at);
             direct.open_counts.record_opened();
             server.direct_pool.note_opened();
-            Ok(Connection::new(opened.connection))
+            Ok(Connection::new(opened.connection, tenant.cloned()))
         }
         Ok(Ok(Err(rejection))) => Err(note_rejection(direct, server, asked_at, rejection.reason)),
         Ok(Err(error)) => {
--- a/crates/proxy/src/direct/connection.rs
+++ b/crates/proxy/src/direct/connection.rs
@@ -28,6 +28,8 @@
 /// A connection to a server.
 pub struct Connection {
     server: Box<dyn ServerConnection>,
+    /// For whom statements run on it, as the server was told when it was opened. It serves nobody else.
+    pub tenant: Option<Name>,
     /// The settings in force at the server.
     pub settings: SessionSettings,
     /// The statements that are prepared at the server, by the proxy's names.
@@ -40,10 +42,10 @@
 }
 
 impl Connection {
-    /// A connection that was just opened.
-    pub fn new(server: Box<dyn ServerConnection>) -> Connection {
+    /// A connection that was just opened for a tenant.
+    pub fn new(server: Box<dyn ServerConnection>, tenant: Option<Name>) -> Connection {
         let (settings, prepared) = (SessionSettings::new(), HashSet::new());
-        Connection { server, settings, prepared, last_used: now(), reply_pending: false }
+        Connection { server, tenant, settings, prepared, last_used: now(), reply_pending: false }
     }
 
     /// Why the idle connection must not be used, if it ended or something came on it unasked.
--- a/crates/proxy/src/direct/mod.rs
+++ b/crates/proxy/src/direct/mod.rs
@@ -29,6 +29,7 @@
 mod statement;
 mod statement_counts;
 mod transaction;
+mod waiters;
 
 pub use command::{SessionCommand, SessionRequest};
 pub use open_counts::{OpenCounts, OpenTotals};
--- a/crates/proxy/src/direct/pool.rs
+++ b/crates/proxy/src/direct/pool.rs
@@ -2,27 +2,19 @@
 //! time.
 use super::connection::{Connection, SessionSettings};
 use super::open_gate::OpenGate;
-use quincehatch_core::Millis;
+use super::waiters::{WaiterKey, Waiters};
+use quincehatch_core::{Millis, Name};
 use quincehatch_runtime::now;
-use std::collections::BTreeMap;
 use std::io;
 use std::sync::{Arc, Mutex};
 use tokio::sync::oneshot;
 
-/// Who is served first among those that wait: by priority, then by age.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct WaiterKey {
-    priority: u64,
-    ticket: u64,
-}
-
 #[derive(Default)]
 struct PoolState {
     idle: Vec<Connection>,
     /// Connections that are checked out, and those that are being opened.
     checked_out: usize,
-    waiters: BTreeMap<WaiterKey, oneshot::Sender<Handover>>,
-    next_ticket: u64,
+    waiters: Waiters,
     /// Changes when the server drains or restarts: connections from before are not kept.
     generation: u64,
     gate: OpenGate,
@@ -174,12 +166,20 @@
         self.state.lock().unwrap().gate.note_taken();
     }
 
-    /// An idle connection, preferably one with these settings, else the one used last.
-    pub(super) fn take_idle(self: &Arc<Self>, settings: &SessionSettings) -> IdleConnection {
+    /// An idle connection of the tenant, preferably one with these settings, else the one used last.
+    pub(super) fn take_idle(
+        self: &Arc<Self>,
+        tenant: Option<&Name>,
+        settings: &SessionSettings,
+    ) -> IdleConnection {
         let mut state = self.state.lock().unwrap();
-        let matching = state.idle.iter().rposition(|connection| connection.settings == *settings);
-        let last = state.idle.len().checked_sub(1);
-        let Some(index) = matching.or(last) else { return IdleConnection::None };
+        let is_tenants = |connection: &Connection| connection.tenant.as_ref() == tenant;
+        let matching = state
+            .idle
+            .iter()
+            .rposition(|connection| is_tenants(connection) && connection.settings == *settings);
+        let last_used = || state.idle.iter().rposition(is_tenants);
+        let Some(index) = matching.or_else(last_used) else { return IdleConnection::None };
         let mut connection = state.idle.remove(index);
         if let Some(error) = connection.broken() {
             drop(state);
@@ -189,26 +189,28 @@
         IdleConnection::Usable(Checkout { connection, permit })
     }
 
-    /// The right to open a connection while there are fewer than `max`, else a place in the queue.
-    pub(super) fn reserve(self: &Arc<Self>, max: usize, priority: u64) -> Reservation {
+    /// The right to open a connection for the tenant while fewer than `max` are in use, else a place in the queue.
+    ///
+    /// The tenant has no idle connection, so those that are idle are other tenants': where there are `max` connections,
+    /// the one that was unused for the longest time makes room.
+    pub(super) fn reserve(self: &Arc<Self>, max: usize, priority: u64, tenant: Option<&Name>) -> Reservation {
         let mut state = self.state.lock().unwrap();
-        let connections = state.checked_out + state.idle.len();
-        let is_closed = state.gate.is_closed(now(), connections);
-        if connections < max && !is_closed {
+        let is_closed = state.gate.is_closed(now(), state.checked_out);
+        if state.checked_out < max && !is_closed {
+            let excess = (state.checked_out + state.idle.len() + 1).saturating_sub(max);
+            state.idle.drain(..excess);
             state.gate.note_attempt(now());
             return Reservation::Granted(self.grant(&mut state));
         }
         let (sender, receiver) = oneshot::channel();
-        let key = WaiterKey { priority, ticket: state.next_ticket };
-        state.next_ticket += 1;
-        state.waiters.insert(key, sender);
+        let key = state.waiters.add(priority, tenant.cloned(), sender);
         let retry_at = is_closed.then_some(state.gate.opens_at());
         Reservation::Queued(Waiter { key, receiver, retry_at })
     }
 
     /// Gives a place in the queue up. A handover may have been sent already.
     pub(super) fn cancel_waiter(&self, key: WaiterKey) {
-        self.state.lock().unwrap().waiters.remove(&key);
+        self.state.lock().unwrap().waiters.remove(key);
     }
 
     fn grant(self: &Arc<Self>, state: &mut PoolState) -> Permit {
@@ -216,18 +218,19 @@
         Permit { pool: self.clone(), generation: state.generation, released: false }
     }
 
-    /// One is checked out no more. The first waiter gets the connection, or the right to open one. The permit is sent
-    /// along, so that nothing is lost when the waiter is gone: dropping it passes the right on.
+    /// One is checked out no more. The next waiter gets the connection if it is its tenant's, else the right to open one.
+    /// The permit is sent along, so that nothing is lost when the waiter is gone: dropping it passes the right on.
     fn release(self: &Arc<Self>, connection: Option<Connection>, generation: u64) {
         let mut state = self.state.lock().unwrap();
         state.checked_out -= 1;
         let mut connection = connection.filter(|_| generation == state.generation);
-        while let Some((_, waiter)) = state.waiters.pop_first() {
+        while let Some(waiter) = state.waiters.take_next(now(), connection.as_ref()) {
             let permit = self.grant(&mut state);
-            match waiter.send(Handover { connection: connection.take(), permit }) {
+            let handed_over = connection.take_if(|connection| connection.tenant == waiter.tenant);
+            match waiter.sender.send(Handover { connection: handed_over, permit }) {
                 Ok(()) => return,
                 Err(mut refused) => {
-                    connection = refused.connection.take();
+                    connection = connection.or(refused.connection.take());
                     // Counted back here, as dropping the permit would lock the state again.
                     refused.permit.released = true;
                     state.checked_out -= 1;
--- a/crates/proxy/src/direct/primary_statement.rs
+++ b/crates/proxy/src/direct/primary_statement.rs
@@ -1,5 +1,5 @@
 //! Statements on the primary: writes, and reads that may miss nothing.
-use super::check_out::check_out;
+use super::check_out::{CheckoutRequest, check_out};
 use super::connection::ConnectionError;
 use super::monitored_call::CallContext;
 use super::pool::Checkout;
@@ -37,6 +37,9 @@
     let mut backoff = Backoff::default();
     let mut last_error = ErrorCode::ConnectionsBusy.without_detail();
     loop {
+        if let Err(error) = run.direct.check_tenant(run.route) {
+            return StatementResponse::failed(error, TransactionState::Idle);
+        }
         // Counted before the primary is looked up: a handover either sees this work, or is seen by it.
         let in_flight = run.direct.proxy.registry.in_flight.begin(&run.route.group);
         let mut disconnected = None;
@@ -68,11 +71,14 @@
         }
     };
     let context = CallContext::new(direct, &server, route);
-    let mut checkout = match check_out(direct, &server, settings, route.priority, deadlines.start_by).await {
+    let request = CheckoutRequest::new(route, settings, deadlines.start_by);
+    let mut checkout = match check_out(direct, &server, request).await {
         Ok(checkout) => checkout,
         Err(error) => return Attempt::Rejected(error.code().without_detail()),
     };
-    let Some(fence) = fence_if_accepting(direct, &route.group, &server) else {
+    let fence = fence_if_accepting(direct, &route.group, &server);
+    // Its key may have been revoked while it waited.
+    let Some(fence) = fence.filter(|_| direct.check_tenant(route).is_ok()) else {
         checkout.check_in();
         return Attempt::NotStarted;
     };
--- a/crates/proxy/src/direct/proxy.rs
+++ b/crates/proxy/src/direct/proxy.rs
@@ -5,8 +5,9 @@
 use crate::Proxy;
 use crate::pool::limits::keepalive_settings;
 use crate::ports::ServerConnector;
+use crate::tenants::ClientKey;
 use bytes::Bytes;
-use quincehatch_core::{Millis, Name};
+use quincehatch_core::{Error, ErrorCode, Millis, Name};
 use quincehatch_runtime::{now, seam};
 use quincehatch_wire::http::KeepaliveSettings;
 use std::collections::HashMap;
@@ -29,6 +30,9 @@
 /// the group, and for connections that are not known to be gone yet.
 const SHARED_TWENTIETHS: usize = 19;
 
+/// When a client may try again after the proxy held no lease.
+pub(super) const RETRY_AFTER_NO_LEASE: Millis = 250;
+
 /// What all direct sessions of a proxy share.
 pub struct DirectProxy {
     /// The proxy.
@@ -82,12 +86,34 @@
         registry.has_lease() && registry.cluster_state().configuration.is_some()
     }
 
-    /// The route of a database under the configuration in force; `None` where no route takes it.
-    pub fn resolve_route(&self, db: &str) -> Option<ResolvedRoute> {
+    /// The route of a database for a client with this key, under the configuration in force.
+    ///
+    /// # Errors
+    /// `NoRoute` where no route takes the database, `Unauthenticated` where the route needs a key and this is no
+    /// tenant's, `NoLease` while this proxy cannot know whether the key is still in force.
+    pub fn resolve_route(&self, db: &str, key: ClientKey) -> Result<ResolvedRoute, Error> {
+        let state = self.proxy.registry.cluster_state();
+        let no_route = || ErrorCode::NoRoute.without_detail();
+        let config = state.configuration.as_ref().ok_or_else(no_route)?;
+        let index = state.route_by_database.get(db).ok_or_else(no_route)?;
+        let route = config.routes.get(*index).ok_or_else(no_route)?;
+        let tenant = state.tenants.authenticate(route, key)?;
+        // A revocation is in force everywhere once each lease holder has applied it, so without a lease no key counts.
+        if tenant.is_some() && !self.proxy.registry.has_lease() {
+            return Err(ErrorCode::NoLease.without_detail().with_retry_after(RETRY_AFTER_NO_LEASE));
+        }
+        ResolvedRoute::resolve(config, route, key, tenant).ok_or_else(no_route)
+    }
+
+    /// Whether the key under which the route was resolved is still the same tenant's.
+    ///
+    /// # Errors
+    /// `Unauthenticated` where it is not.
+    pub fn check_tenant(&self, route: &ResolvedRoute) -> Result<(), Error> {
         let state = self.proxy.registry.cluster_state();
-        let config = state.configuration.as_ref()?;
-        let route = config.routes.get(*state.route_by_database.get(db)?)?;
-        ResolvedRoute::resolve(config, route)
+        let is_unchanged =
+            route.tenant.is_none() || state.tenants.tenant_of(route.key) == route.tenant.as_ref();
+        if is_unchanged { Ok(()) } else { Err(ErrorCode::Unauthenticated.without_detail()) }
     }
 
     /// How many connections this proxy may have to one server of the group: its part of what all proxies share, and
--- a/crates/proxy/src/direct/replica_read.rs
+++ b/crates/proxy/src/direct/replica_read.rs
@@ -1,5 +1,5 @@
 //! Reads on a replica that is fresh enough, or on the primary.
-use super::check_out::check_out;
+use super::check_out::{CheckoutRequest, check_out};
 use super::connection::ConnectionError;
 use super::monitored_call::CallContext;
 use super::replies::{
@@ -56,6 +56,9 @@
     let mut backoff = Backoff::default();
     let mut last_error = ErrorCode::AllReplicasEjected.without_detail();
     loop {
+        if let Err(error) = run.direct.check_tenant(run.route) {
+            return StatementResponse::failed(error, TransactionState::Idle);
+        }
         let Some(target) = tried.choose_next(run, backoff.is_first_attempt()) else {
             if deadlines.start_passed() || tried.count() > MAX_SERVERS {
                 return give_up(last_error);
@@ -84,11 +87,14 @@
     let SingleStatement { direct, route, settings, .. } = run;
     let server = &target.server;
     let context = CallContext::new(direct, server, route);
-    let mut checkout = match check_out(direct, server, settings, route.priority, deadlines.start_by).await {
+    let request = CheckoutRequest::new(route, settings, deadlines.start_by);
+    let mut checkout = match check_out(direct, server, request).await {
         Ok(checkout) => checkout,
         Err(error) => return Attempt::Retry(error.code().without_detail()),
     };
-    if target.is_primary() && fence_if_accepting(direct, &route.group, server).is_none() {
+    let was_replaced = target.is_primary() && fence_if_accepting(direct, &route.group, server).is_none();
+    // Its key may have been revoked while it waited.
+    if was_replaced || direct.check_tenant(route).is_err() {
         checkout.check_in();
         return Attempt::NotStarted;
     }
--- a/crates/proxy/src/direct/route.rs
+++ b/crates/proxy/src/direct/route.rs
@@ -1,4 +1,5 @@
 //! How statements of one database are routed, and the time limits that follow from it.
+use crate::tenants::ClientKey;
 use quincehatch_config::configuration::{Configuration, Route};
 use quincehatch_core::{Millis, Name};
 use quincehatch_runtime::now;
@@ -27,6 +28,10 @@
     pub query_timeout: Millis,
     /// Among those that wait for a connection; lower numbers are served first.
     pub priority: u64,
+    /// The key of the client that follows it.
+    pub key: ClientKey,
+    /// For whom the statements run; `None` for a client without a tenant on a route that needs no key.
+    pub tenant: Option<Name>,
 }
 
 /// The time limits of one statement, on the local clock.
@@ -51,8 +56,13 @@
 }
 
 impl ResolvedRoute {
-    /// Resolves a route; `None` where its placement names no group.
-    pub fn resolve(config: &Configuration, route: &Route) -> Option<ResolvedRoute> {
+    /// Resolves a route for a client with `key`, who is `tenant`; `None` where its placement names no group.
+    pub fn resolve(
+        config: &Configuration,
+        route: &Route,
+        key: ClientKey,
+        tenant: Option<Name>,
+    ) -> Option<ResolvedRoute> {
         let group = config.placement(&route.placement)?.select.get("group")?.first()?;
         Some(ResolvedRoute {
             group: group.as_str().into(),
@@ -62,6 +72,8 @@
             max_staleness: route.max_staleness_ms,
             query_timeout: route.query_timeout_ms.unwrap_or(config.health.query_timeout_ms),
             priority: route.priority,
+            key,
+            tenant,
         })
     }
 
--- a/crates/proxy/src/direct/session.rs
+++ b/crates/proxy/src/direct/session.rs
@@ -3,6 +3,7 @@
 use super::DirectProxy;
 use super::begin::BeginRequest;
 use super::command::{SessionCommand, SessionRequest};
+use super::proxy::RETRY_AFTER_NO_LEASE;
 use super::replies::transaction_lost;
 use super::response::StatementResponse;
 use super::route::ResolvedRoute;
@@ -12,6 +13,7 @@
 use super::statement::{SingleStatement, Statement, StatementBody};
 use super::transaction::OpenTransaction;
 use crate::ports::TransactionState;
+use crate::tenants::ClientKey;
 use bytes::Bytes;
 use quincehatch_core::{Error, ErrorCode, Millis, Name};
 use quincehatch_runtime::{now, seam};
@@ -23,13 +25,13 @@
 const LEASE_WAIT: Millis = 400;
 /// How long it waits for a change of the cluster state before it looks again.
 const LEASE_RECHECK_INTERVAL: Millis = 25;
-/// When a client may try again after the proxy held no lease.
-const RETRY_AFTER_NO_LEASE: Millis = 250;
 
 /// One client's session.
 pub struct DirectSession {
     direct: Arc<DirectProxy>,
     db: Name,
+    /// The key that the client gave; it is looked up anew for each statement, as it may be revoked.
+    key: ClientKey,
     setup: SessionSetup,
     transaction: SessionTransaction,
 }
@@ -41,12 +43,12 @@
 }
 
 impl DirectSession {
-    /// Opens a session of a database that some route takes.
+    /// Opens a session of a database that some route takes, for a client with `key`.
     ///
     /// # Errors
-    /// `NotReady` while the proxy holds no lease: the routes it knows may be old, so it must not say that there is none.
-    /// `NoRoute` where no route takes the database.
-    pub async fn open(direct: &Arc<DirectProxy>, db: &str) -> Result<DirectSession, Error> {
+    /// `NotReady` while the proxy holds no lease: the routes and keys it knows may be old, so it must not say that there
+    /// is none. `NoRoute` where no route takes the database, `Unauthenticated` where its route needs another key.
+    pub async fn open(direct: &Arc<DirectProxy>, db: &str, key: ClientKey) -> Result<DirectSession, Error> {
         let until = now() + LEASE_WAIT;
         while !direct.knows_configuration() {
             if now() >= until {
@@ -56,11 +58,12 @@
             let changed = direct.proxy.registry.changed.notified();
             let _ = seam::timeout(Duration::from_millis(LEASE_RECHECK_INTERVAL), changed).await;
         }
-        direct.resolve_route(db).ok_or_else(|| ErrorCode::NoRoute.without_detail())?;
+        direct.resolve_route(db, key)?;
         direct.open_sessions.fetch_add(1, Ordering::SeqCst);
         Ok(DirectSession {
             direct: direct.clone(),
             db: db.into(),
+            key,
             setup: SessionSetup::default(),
             transaction: SessionTransaction::default(),
         })
@@ -115,10 +118,8 @@
     }
 
     fn route(&self) -> Result<ResolvedRoute, StatementResponse> {
-        let route = self.direct.resolve_route(&self.db);
-        route.ok_or_else(|| {
-            StatementResponse::failed(ErrorCode::NoRoute.without_detail(), self.transaction_state())
-        })
+        let route = self.direct.resolve_route(&self.db, self.key);
+        route.map_err(|error| StatementResponse::failed(error, self.transaction_state()))
     }
 
     fn begin(&mut self, read_only: bool) -> StatementResponse {
@@ -151,7 +152,13 @@
                 let error = transaction_lost("it had failed and is rolled back");
                 StatementResponse::failed(error, TransactionState::Idle)
             }
-            Some(Transaction::Open(open)) => open.commit(&self.direct, id).await,
+            Some(Transaction::Open(open)) => match self.direct.check_tenant(&open.route) {
+                Ok(()) => open.commit(&self.direct, id).await,
+                Err(_) => {
+                    let error = transaction_lost("its key was revoked");
+                    StatementResponse::failed(error, TransactionState::Idle)
+                }
+            },
             // Nothing was run in it; the commit goes to a server all the same, as its success is the server's to report.
             Some(Transaction::Deferred(request)) => {
                 match request.begin(&self.direct, self.setup.settings()).await {
@@ -202,7 +209,11 @@
     async fn run(&mut self, statement: Statement) -> StatementResponse {
         match self.transaction.take_for_step() {
             None => self.run_outside_transaction(&statement).await,
-            Some(Transaction::Open(open)) => self.run_in_transaction(open, &statement).await,
+            // Dropping it rolls back what ran under the key before it was revoked.
+            Some(Transaction::Open(open)) => match self.direct.check_tenant(&open.route) {
+                Ok(()) => self.run_in_transaction(open, &statement).await,
+                Err(error) => StatementResponse::failed(error, TransactionState::Failed),
+            },
             Some(Transaction::Deferred(request)) => {
                 match request.begin(&self.direct, self.setup.settings()).await {
                     Ok(open) => self.run_in_transaction(Box::new(open), &statement).await,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! Layers, each of which imports only those before it:
 //! 1. types and ports: [`server_protocol`], [`platform_api`], [`ports`], [`latest`], [`sync`], [`retry_budget`];
-//! 2. [`staleness`], [`health`] (but for its probe), the states of [`session`]s, [`pool`];
+//! 2. [`tenants`], [`staleness`], [`health`] (but for its probe), the states of [`session`]s, [`pool`];
 //! 3. [`routing`]: the registry of servers, and which server a read goes to; then [`health::probe`];
 //! 4. sessions with their open transactions, [`client_api`] and [`services`];
 //! 5. the request paths: [`attempt`], [`read`], [`mod@write`], [`primary_read`], [`transaction`], [`session_filter`];
@@ -28,6 +28,7 @@
 pub mod routing;
 pub mod session;
 pub mod staleness;
+pub mod tenants;
 
 pub mod client_api;
 pub mod services;
--- a/crates/proxy/src/ports.rs
+++ b/crates/proxy/src/ports.rs
@@ -184,16 +184,26 @@
 /// How opening a connection ended: the server may reject it.
 pub type OpenResult = Result<OpenedConnection, Rejection>;
 
+/// Which connection is to be opened.
+#[derive(Clone, Debug)]
+pub struct ConnectRequest {
+    /// The server's address.
+    pub addr: Name,
+    /// The group that the server is to be of.
+    pub group: Name,
+    /// The server that is to have the address.
+    pub server: Name,
+    /// The tenant for whom statements run on the connection, as the server is told; `None` for the proxy itself and for
+    /// clients without a tenant.
+    pub tenant: Option<Name>,
+    /// Keep-alive of the connection.
+    pub keepalive: KeepaliveSettings,
+}
+
 /// Opens connections to servers.
 pub trait ServerConnector: Send + Sync {
-    /// Opens a connection to `server` of `group`, or finds out that another server has the address.
-    fn connect(
-        &self,
-        addr: Name,
-        group: Name,
-        server: Name,
-        keepalive: KeepaliveSettings,
-    ) -> BoxFuture<'static, io::Result<OpenResult>>;
+    /// Opens a connection, or finds out that another server has the address.
+    fn connect(&self, request: ConnectRequest) -> BoxFuture<'static, io::Result<OpenResult>>;
 }
 
 /// What the answer to a promotion means.
--- a/crates/proxy/src/routing/cluster_state.rs
+++ b/crates/proxy/src/routing/cluster_state.rs
@@ -1,5 +1,6 @@
 //! Configuration and primaries as the keepers' chain has them and this node has applied them.
 use crate::latest::Numbered;
+use crate::tenants::TenantDirectory;
 use quincehatch_config::configuration::Configuration;
 use quincehatch_core::{ChangeNumber, Name, PrimaryAssignment, Version};
 use std::collections::{BTreeMap, HashMap};
@@ -18,6 +19,8 @@
     pub primaries: BTreeMap<Name, PrimaryAssignment>,
     /// For each database that direct sessions name, the index of its route.
     pub route_by_database: Arc<HashMap<Name, usize>>,
+    /// The tenants of the configuration, by their keys.
+    pub tenants: Arc<TenantDirectory>,
 }
 
 impl ClusterState {
--- /dev/null
+++ b/crates/proxy/src/tenants/directory.rs
@@ -0,0 +1,49 @@
+//! The tenants of one version of the configuration, by their keys.
+use super::ClientKey;
+use quincehatch_config::configuration::{Configuration, Route};
+use quincehatch_config::key_digest::KeyDigest;
+use quincehatch_core::{Error, ErrorCode, Name};
+use std::collections::HashMap;
+
+/// Whose key is whose, under one version of the configuration.
+#[derive(Clone, Debug, Default)]
+pub struct TenantDirectory {
+    require_keys: bool,
+    tenant_by_key: HashMap<KeyDigest, Name>,
+}
+
+impl TenantDirectory {
+    /// The directory of a configuration that was validated.
+    pub fn of(configuration: &Configuration) -> TenantDirectory {
+        let mut tenant_by_key = HashMap::new();
+        for tenant in &configuration.tenants {
+            let digests = tenant.keys.iter().filter_map(|key| key.parse().ok());
+            tenant_by_key.extend(digests.map(|digest| (digest, Name::from(tenant.name.as_str()))));
+        }
+        TenantDirectory { require_keys: configuration.require_keys, tenant_by_key }
+    }
+
+    /// How many keys are in force.
+    pub fn key_count(&self) -> usize {
+        self.tenant_by_key.len()
+    }
+
+    /// The tenant that has this key.
+    pub fn tenant_of(&self, key: ClientKey) -> Option<&Name> {
+        self.tenant_by_key.get(&key.digest()?)
+    }
+
+    /// For whom a client with this key uses the route; `None` where the route needs no key and the client has none that
+    /// is known.
+    ///
+    /// # Errors
+    /// `Unauthenticated` where the route needs a key and this one is no tenant's.
+    pub fn authenticate(&self, route: &Route, key: ClientKey) -> Result<Option<Name>, Error> {
+        let tenant = self.tenant_of(key).cloned();
+        let needs_key = self.require_keys && !route.public;
+        if needs_key && tenant.is_none() {
+            return Err(ErrorCode::Unauthenticated.without_detail());
+        }
+        Ok(tenant)
+    }
+}
--- a/crates/proxy/tests/direct_connections.rs
+++ b/crates/proxy/tests/direct_connections.rs
@@ -4,7 +4,7 @@
 
 use fake_servers::{Fault, Fixture, execute, read, write};
 use quincehatch_proxy::direct::SessionCommand;
-use quincehatch_proxy::direct::check_out::check_out;
+use quincehatch_proxy::direct::check_out::{CheckoutRequest, check_out};
 use quincehatch_proxy::direct::connection::SessionSettings;
 use quincehatch_proxy::ports::RejectReason;
 use quincehatch_runtime::{now, seam};
@@ -65,6 +65,10 @@
     }
 }
 
+fn request(settings: &SessionSettings) -> CheckoutRequest<'_> {
+    CheckoutRequest { tenant: None, settings, priority: 1, until: now() + 1_000 }
+}
+
 /// A waiter may be gone when its connection comes (as that of a read whose hedge was answered): the connection is handed
 /// on, and not counted any more. Once a proxy gave out no connection of one server until it was restarted.
 #[tokio::test]
@@ -76,10 +80,10 @@
     for _ in 0..3 * max {
         let mut checkouts = Vec::new();
         for _ in 0..max {
-            let checkout = check_out(&fixture.direct, &server, &settings, 1, now() + 1_000).await;
+            let checkout = check_out(&fixture.direct, &server, request(&settings)).await;
             checkouts.push(checkout.unwrap());
         }
-        let mut waiter = Box::pin(check_out(&fixture.direct, &server, &settings, 1, now() + 1_000));
+        let mut waiter = Box::pin(check_out(&fixture.direct, &server, request(&settings)));
         assert!(seam::select_first(waiter.as_mut(), std::future::ready(())).await.is_err());
         checkouts.into_iter().for_each(|checkout| checkout.check_in());
         drop(waiter);
--- a/crates/proxy/tests/direct_sessions.rs
+++ b/crates/proxy/tests/direct_sessions.rs
@@ -8,6 +8,7 @@
 use quincehatch_core::{ErrorCode, Outcome, Position};
 use quincehatch_proxy::direct::{DirectSession, SessionCommand, StatementError};
 use quincehatch_proxy::ports::RejectReason;
+use quincehatch_proxy::tenants::ClientKey;
 use quincehatch_runtime::now;
 
 #[tokio::test]
@@ -131,12 +132,12 @@
     let fixture = Fixture::new();
     fixture.direct.proxy.registry.set_lease_for_test(0);
     for db in ["orders", "nowhere"] {
-        let refused = DirectSession::open(&fixture.direct, db).await.err().unwrap();
+        let refused = DirectSession::open(&fixture.direct, db, ClientKey::NONE).await.err().unwrap();
         assert!(refused.has_code(ErrorCode::NotReady) && refused.retry_after_ms.is_some(), "{refused}");
     }
     fixture.direct.proxy.registry.renew_lease(now() + 10_000);
-    assert!(DirectSession::open(&fixture.direct, "orders").await.is_ok());
-    let refused = DirectSession::open(&fixture.direct, "nowhere").await;
+    assert!(DirectSession::open(&fixture.direct, "orders", ClientKey::NONE).await.is_ok());
+    let refused = DirectSession::open(&fixture.direct, "nowhere", ClientKey::NONE).await;
     assert!(refused.is_err_and(|error| error.has_code(ErrorCode::NoRoute)));
 }
 
--- a/crates/proxy/tests/fake_servers/fixture.rs
+++ b/crates/proxy/tests/fake_servers/fixture.rs
@@ -10,6 +10,7 @@
 };
 use quincehatch_proxy::registry::ClusterState;
 use quincehatch_proxy::session::replicas::LocalOnlyReplicas;
+use quincehatch_proxy::tenants::ClientKey;
 use quincehatch_runtime::now;
 use quincehatch_runtime::seam::Spawner;
 use std::sync::Arc;
@@ -75,12 +76,13 @@
             configuration: Some(Arc::new(Configuration::parse(CONFIGURATION).unwrap())),
             primaries: [(GROUP.into(), assignment)].into(),
             route_by_database: Arc::new([("orders".into(), 0), ("looks".into(), 1)].into()),
+            tenants: Arc::default(),
         });
     }
 
     /// Opens a session of a database.
     pub async fn session(&self, db: &str) -> DirectSession {
-        DirectSession::open(&self.direct, db).await.unwrap()
+        DirectSession::open(&self.direct, db, ClientKey::NONE).await.unwrap()
     }
 
     /// Orders a fault for a call to come at a server.
--- a/crates/proxy/tests/fake_servers/mod.rs
+++ b/crates/proxy/tests/fake_servers/mod.rs
@@ -12,10 +12,9 @@
 use connection::FakeConnection;
 use quincehatch_core::Name;
 use quincehatch_proxy::ports::{
-    OpenResult, OpenedConnection, RejectReason, Rejection, ServerConnection, ServerConnector,
+    ConnectRequest, OpenResult, OpenedConnection, RejectReason, Rejection, ServerConnection, ServerConnector,
 };
 use quincehatch_runtime::seam::BoxFuture;
-use quincehatch_wire::http::KeepaliveSettings;
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::sync::{Arc, Mutex};
@@ -70,14 +69,8 @@
 }
 
 impl ServerConnector for FakeGroup {
-    fn connect(
-        &self,
-        _: Name,
-        _: Name,
-        server: Name,
-        _: KeepaliveSettings,
-    ) -> BoxFuture<'static, io::Result<OpenResult>> {
-        let group = self.clone();
+    fn connect(&self, request: ConnectRequest) -> BoxFuture<'static, io::Result<OpenResult>> {
+        let (group, server) = (self.clone(), request.server);
         Box::pin(async move {
             group.0.lock().unwrap().servers.entry(server.clone()).or_default();
             let full = group.with_server(&server, |server| {
--- a/crates/simulator/src/direct/server_ports.rs
+++ b/crates/simulator/src/direct/server_ports.rs
@@ -6,11 +6,10 @@
 use crate::fleet::simulation::ProcessId;
 use quincehatch_core::{FencingToken, Millis, Name};
 use quincehatch_proxy::ports::{
-    self, OpenResult, Promoter, PromotionOutcome, RejectReason, Rejection, ServerCall, ServerConnection,
-    ServerConnector, ServerPorts, ServerReply,
+    self, ConnectRequest, OpenResult, Promoter, PromotionOutcome, RejectReason, Rejection, ServerCall,
+    ServerConnection, ServerConnector, ServerPorts, ServerReply,
 };
 use quincehatch_runtime::seam::{self, BoxFuture};
-use quincehatch_wire::http::KeepaliveSettings;
 use std::io;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -77,16 +76,16 @@
 
 impl NodeView {
     /// Asks a server for a connection; its answer goes to `tx`, and no connection is left if nobody waits for it.
-    fn request_connection(&self, addr: &str, server: Name, tx: oneshot::Sender<Opened>) {
+    fn request_connection(&self, request: ConnectRequest, tx: oneshot::Sender<Opened>) {
         let Some(simulation) = self.group.simulation() else { return };
-        let Some(index) = self.group.with(|state| state.server_at(addr)) else { return };
+        let Some(index) = self.group.with(|state| state.server_at(&request.addr)) else { return };
         let (group, node) = (self.group.clone(), self.node);
         let pid = group.with(|state| state.servers[index].pid);
         deliver(&simulation, node, pid, move |simulation, delivery| {
             let opened = match delivery {
                 Delivery::Arrived => {
                     let now = simulation.now();
-                    Ok(group.with(|state| state.open_connection(now, node, index, &server)))
+                    Ok(group.with(|state| state.open_connection(now, node, index, &request.server)))
                 }
                 Delivery::Refused => Err(io::ErrorKind::ConnectionRefused.into()),
                 Delivery::TimedOut => {
@@ -104,15 +103,9 @@
 }
 
 impl ServerConnector for NodeView {
-    fn connect(
-        &self,
-        addr: Name,
-        _group: Name,
-        server: Name,
-        _keepalive: KeepaliveSettings,
-    ) -> BoxFuture<'static, io::Result<OpenResult>> {
+    fn connect(&self, request: ConnectRequest) -> BoxFuture<'static, io::Result<OpenResult>> {
         let (tx, rx) = oneshot::channel::<Opened>();
-        self.request_connection(&addr, server, tx);
+        self.request_connection(request, tx);
         let group = self.group.clone();
         Box::pin(async move {
             let opened = rx.await.unwrap_or_else(|_| Err(connection_reset()))?;
--- a/crates/simulator/src/direct/session_task.rs
+++ b/crates/simulator/src/direct/session_task.rs
@@ -1,6 +1,7 @@
 //! A session's task at its node, as the node's listener runs it.
 use quincehatch_core::Millis;
 use quincehatch_proxy::direct::{DirectProxy, DirectSession, SessionRequest, StatementResponse};
+use quincehatch_proxy::tenants::ClientKey;
 use quincehatch_runtime::seam;
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,7 +25,7 @@
     mut calls: mpsc::UnboundedReceiver<SessionCall>,
     opened: oneshot::Sender<bool>,
 ) {
-    let session = DirectSession::open(&proxy, database).await.ok();
+    let session = DirectSession::open(&proxy, database, ClientKey::NONE).await.ok();
     let _ = opened.send(session.is_some());
     let Some(mut session) = session else { return };
     loop {
--- a/crates/simulator/src/direct/version_check.rs
+++ b/crates/simulator/src/direct/version_check.rs
@@ -2,6 +2,7 @@
 use super::ledger::AcknowledgedVersion;
 use super::setup::{DirectFleet, RunningNode, SimulatedNode};
 use quincehatch_core::Millis;
+use quincehatch_proxy::tenants::ClientKey;
 use quincehatch_runtime::seam;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -79,6 +80,7 @@
 fn version_in_force(running: &RunningNode, acknowledged: &[AcknowledgedVersion]) -> u64 {
     let newest = acknowledged.last().map_or(1, |version| version.number) + NUMBERS_AHEAD;
     let oldest = acknowledged.iter().rev().nth(VERSIONS_CHECKED).map_or(1, |version| version.number);
-    let has = |number: &u64| running.direct_proxy.resolve_route(&format!("v{number}")).is_some();
+    let has =
+        |number: &u64| running.direct_proxy.resolve_route(&format!("v{number}"), ClientKey::NONE).is_ok();
     (oldest..=newest).rev().find(has).unwrap_or(0)
 }
--- a/crates/simulator/tests/held/group.rs
+++ b/crates/simulator/tests/held/group.rs
@@ -1,11 +1,10 @@
 //! A group of servers behind held links, and who promotes them, as the ports show them (§3.6).
 use quincehatch_core::{FencingToken, Name, Position, Role};
 use quincehatch_proxy::ports::{
-    OpenResult, OpenedConnection, Promoter, PromotionOutcome, ServerCall, ServerConnection, ServerConnector,
-    ServerPorts, ServerReply, ServerStatus,
+    ConnectRequest, OpenResult, OpenedConnection, Promoter, PromotionOutcome, ServerCall, ServerConnection,
+    ServerConnector, ServerPorts, ServerReply, ServerStatus,
 };
 use quincehatch_runtime::seam::{self, BoxFuture};
-use quincehatch_wire::http::KeepaliveSettings;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::sync::{Arc, Mutex};
@@ -143,14 +142,8 @@
 }
 
 impl ServerConnector for From {
-    fn connect(
-        &self,
-        _: Name,
-        _: Name,
-        server: Name,
-        _: KeepaliveSettings,
-    ) -> BoxFuture<'static, io::Result<OpenResult>> {
-        let (group, node) = (self.group.clone(), self.node.clone());
+    fn connect(&self, request: ConnectRequest) -> BoxFuture<'static, io::Result<OpenResult>> {
+        let (group, node, server) = (self.group.clone(), self.node.clone(), request.server);
         Box::pin(async move {
             seam::sleep(HOP).await;
             if !group.with(|s| s.reached(&node, &server)) {
