One count: nodes settle tenants' operations with the tail

Change: crate quota, without I/O: the tail of the chain has a token bucket for each tenant that has a limit, nodes hold a few tokens, settle several times a second, and go on at their share while no tail answers. The platform's three figures of tolerance are read.

--- a/crates/config/src/configuration/mod.rs
+++ b/crates/config/src/configuration/mod.rs
@@ -16,7 +16,7 @@
 pub use placement::{Placement, Selector};
 pub use queue::QueueLimits;
 pub use route::{LOOKUP_CLASS, ORDER_CLASS, Route};
-pub use tenant::Tenant;
+pub use tenant::{Tenant, limits, limits_in_stored};
 pub use zone::Zone;
 
 use crate::{deprecated_keys, document, schema_error};
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`sessions`]: replicas of client sessions on other nodes;
 //! - [`promotion`]: the singleton duty that watches a group's primary and promotes another;
 //! - [`enrollment_cleanup`]: the singleton duty that dismisses nodes that are gone;
+//! - `settlement`: tenants' operations, counted over all nodes;
 //! - [`client_api`] and [`operator`]: what the two HTTP listeners answer;
 //! - [`metrics`]: the node's state as metrics.
 //!
@@ -28,6 +29,7 @@
 pub mod peer_service;
 pub mod promotion;
 pub mod sessions;
+mod settlement;
 pub mod store_client;
 mod tasks;
 
--- a/crates/node/src/tasks.rs
+++ b/crates/node/src/tasks.rs
@@ -1,6 +1,6 @@
 //! The tasks that a running node consists of.
 use crate::node::Node;
-use crate::{enrollment_cleanup, feed, peer_service, promotion, sessions};
+use crate::{enrollment_cleanup, feed, peer_service, promotion, sessions, settlement};
 use quincehatch_proxy::probe;
 use quincehatch_runtime::seam;
 use std::sync::Arc;
@@ -10,6 +10,7 @@
     pub fn start(self: &Arc<Self>) {
         seam::spawn(peer_service::run_membership(self.clone()));
         seam::spawn(feed::follow(self.clone()));
+        seam::spawn(settlement::run_settlements(self.clone()));
         seam::spawn(enrollment_cleanup::run(self.clone()));
         if self.has_direct_servers() {
             seam::spawn(probe::run_health_ticks(self.proxy.registry.clone()));
--- a/crates/proxy/src/direct/begin.rs
+++ b/crates/proxy/src/direct/begin.rs
@@ -44,6 +44,7 @@
         direct: &DirectProxy,
         settings: &SessionSettings,
     ) -> Result<OpenTransaction, Error> {
+        direct.admit_operation(&self.route).await?;
         let deadlines = self.route.transaction_deadlines();
         let on_any_server = self.read_only && !self.route.primary_only;
         let mut tried = Vec::new();
--- a/crates/proxy/src/direct/proxy.rs
+++ b/crates/proxy/src/direct/proxy.rs
@@ -24,6 +24,8 @@
 /// With an even share of this or more a proxy keeps one connection however seldom it is used: if all do, half of the
 /// server's connections are left for whoever needs more than one.
 const KEEPING_SHARE: usize = 2;
+/// With such a share idle connections wait so many times longer.
+const KEEPING_TERMS: Millis = 8;
 /// Connections that a server takes where the configuration does not say.
 const DEFAULT_SERVER_CONNECTIONS: u64 = 64;
 /// The part of a server's connections that the proxies share, in twentieths: the last one is left for those that watch
@@ -116,6 +118,27 @@
         if is_unchanged { Ok(()) } else { Err(ErrorCode::Unauthenticated.without_detail()) }
     }
 
+    /// Admits an operation that follows the route: a statement outside a transaction, or a transaction.
+    ///
+    /// # Errors
+    /// `QuotaExceeded` where the route's tenant is at its limit.
+    pub(super) async fn admit_operation(&self, route: &ResolvedRoute) -> Result<(), Error> {
+        match self.counted_tenant(route) {
+            Some(tenant) => self.proxy.quota.admit(tenant).await,
+            None => Ok(()),
+        }
+    }
+
+    /// Whether a statement that follows the route may be sent a second time: each time counts.
+    pub(super) fn may_run_twice(&self, route: &ResolvedRoute) -> bool {
+        self.counted_tenant(route).is_none_or(|tenant| self.proxy.quota.take_spare(tenant))
+    }
+
+    fn counted_tenant<'route>(&self, route: &'route ResolvedRoute) -> Option<&'route Name> {
+        let state = self.proxy.registry.cluster_state();
+        route.tenant.as_ref().filter(|tenant| state.tenants.has_limit(tenant))
+    }
+
     /// How many connections this proxy may have to one server of the group: its part of what all proxies share, and
     /// where that is little, what the others hardly need.
     pub fn connection_share(&self, group: &str) -> ConnectionShare {
@@ -141,8 +164,10 @@
                     continue;
                 }
                 let even = self.connection_share(&server.group()).even.min(BORROW_LIMIT);
-                let idle_timeout = IDLE_TIMEOUT * even as Millis / BORROW_LIMIT as Millis;
-                let keep = usize::from(even >= KEEPING_SHARE);
+                // Connections serve one tenant each, so where a proxy may hold several they wait longer for theirs.
+                let terms = if even >= KEEPING_SHARE { KEEPING_TERMS } else { 1 };
+                let idle_timeout = IDLE_TIMEOUT * terms * even as Millis / BORROW_LIMIT as Millis;
+                let keep = even / KEEPING_SHARE;
                 server.direct_pool.trim(now().saturating_sub(idle_timeout), keep);
             }
             seam::sleep(Duration::from_millis(IDLE_TIMEOUT / BORROW_LIMIT as Millis)).await;
--- a/crates/proxy/src/direct/single_statement.rs
+++ b/crates/proxy/src/direct/single_statement.rs
@@ -3,12 +3,16 @@
 use super::replica_read::{TriedServers, run_on_any};
 use super::response::StatementResponse;
 use super::statement::SingleStatement;
+use crate::ports::TransactionState;
 use quincehatch_runtime::seam;
 use std::pin::pin;
 use std::time::Duration;
 
 /// Runs one statement where its route says. Reads are hedged.
 pub(super) async fn run_single(run: SingleStatement<'_>) -> StatementResponse {
+    if let Err(error) = run.direct.admit_operation(run.route).await {
+        return StatementResponse::failed(error, TransactionState::Idle);
+    }
     run.direct.proxy.retry_budget.earn();
     if run.statement.write {
         return run_on_primary(run).await;
@@ -31,7 +35,7 @@
     if let Ok(response) = seam::timeout(delay, first.as_mut()).await {
         return response;
     }
-    if !run.direct.proxy.retry_budget.try_spend() {
+    if !run.direct.proxy.retry_budget.try_spend() || !run.direct.may_run_twice(run.route) {
         return first.await;
     }
     let mut second = pin!(attempt());
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -9,6 +9,7 @@
 use crate::session::replicas::SessionReplicas;
 use crate::session::sessions::Sessions;
 use crate::session_filter;
+use crate::tenants::QuotaGate;
 use quincehatch_config::configuration::HealthSettings;
 use quincehatch_config::settings::NodeSettings;
 use quincehatch_core::{Error, ErrorCode, Name, Outcome};
@@ -62,6 +63,8 @@
     pub sessions: Arc<Sessions>,
     /// Bounds retries at other servers.
     pub retry_budget: Arc<RetryBudget>,
+    /// What tenants may run here.
+    pub quota: Arc<QuotaGate>,
     /// The ways that the last requests took.
     pub traces: Mutex<VecDeque<RequestTrace>>,
     /// How requests ended.
@@ -84,6 +87,7 @@
             registry: services.registry.clone(),
             sessions: services.sessions.clone(),
             retry_budget: services.retry_budget.clone(),
+            quota: services.quota.clone(),
             traces: Mutex::default(),
             outcome_counts: OutcomeCounts::default(),
             requests_in_flight: AtomicU64::new(0),
--- a/crates/proxy/src/services.rs
+++ b/crates/proxy/src/services.rs
@@ -3,6 +3,7 @@
 use crate::routing::registry::Registry;
 use crate::session::replicas::SessionReplicas;
 use crate::session::sessions::Sessions;
+use crate::tenants::QuotaGate;
 use quincehatch_config::settings::NodeSettings;
 use quincehatch_runtime::seam::Spawner;
 use std::sync::Arc;
@@ -25,6 +26,8 @@
     pub spawner: Spawner,
     /// Bounds retries at other servers.
     pub retry_budget: Arc<RetryBudget>,
+    /// What tenants may run here.
+    pub quota: Arc<QuotaGate>,
     next_request_id: AtomicU64,
 }
 
@@ -42,6 +45,7 @@
             session_replicas,
             spawner,
             retry_budget: Arc::default(),
+            quota: Arc::default(),
             next_request_id: AtomicU64::new(fastrand::u64(1..FIRST_REQUEST_ID_BOUND)),
         })
     }
--- a/crates/proxy/src/tenants/directory.rs
+++ b/crates/proxy/src/tenants/directory.rs
@@ -1,15 +1,18 @@
 //! The tenants of one version of the configuration, by their keys.
 use super::ClientKey;
-use quincehatch_config::configuration::{Configuration, Route};
+use quincehatch_config::configuration::{Configuration, Route, limits};
 use quincehatch_config::key_digest::KeyDigest;
 use quincehatch_core::{Error, ErrorCode, Name};
-use std::collections::HashMap;
+use quincehatch_quota::Limit;
+use std::collections::{BTreeMap, HashMap};
 
 /// Whose key is whose, under one version of the configuration.
 #[derive(Clone, Debug, Default)]
 pub struct TenantDirectory {
     require_keys: bool,
     tenant_by_key: HashMap<KeyDigest, Name>,
+    /// Those that have a limit.
+    limits: BTreeMap<Name, Limit>,
 }
 
 impl TenantDirectory {
@@ -20,7 +23,8 @@
             let digests = tenant.keys.iter().filter_map(|key| key.parse().ok());
             tenant_by_key.extend(digests.map(|digest| (digest, Name::from(tenant.name.as_str()))));
         }
-        TenantDirectory { require_keys: configuration.require_keys, tenant_by_key }
+        let limits = limits(&configuration.tenants);
+        TenantDirectory { require_keys: configuration.require_keys, tenant_by_key, limits }
     }
 
     /// How many keys are in force.
@@ -28,6 +32,11 @@
         self.tenant_by_key.len()
     }
 
+    /// Whether the tenant's operations are counted.
+    pub fn has_limit(&self, tenant: &Name) -> bool {
+        self.limits.contains_key(tenant)
+    }
+
     /// The tenant that has this key.
     pub fn tenant_of(&self, key: ClientKey) -> Option<&Name> {
         self.tenant_by_key.get(&key.digest()?)
--- /dev/null
+++ b/crates/quota/src/allowances.rs
@@ -0,0 +1,106 @@
+//! What one node may run for all its tenants.
+use crate::allowance::Allowance;
+use crate::messages::{Claim, Grant};
+use quincehatch_core::{Millis, Name};
+use std::collections::BTreeMap;
+
+/// Tokens of a tenant that nobody asked for during this time are given back. It is less than a node's lease, so a tail
+/// that hears nothing of a node for longer may forget what it held.
+pub const MAX_HOLD: Millis = 3_000;
+
+/// What becomes of an operation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It may run.
+    Admitted,
+    /// There is no token, and the tail is to be asked.
+    Wait,
+    /// The tenant is at its limit.
+    Rejected,
+}
+
+/// A node's allowances.
+#[derive(Clone, Debug, Default)]
+pub struct Allowances {
+    by_tenant: BTreeMap<Name, Allowance>,
+    /// Since when no settlement was answered, if the last was not.
+    unsettled_since: Option<Millis>,
+    /// What the settlement under way claims.
+    under_way: Vec<Claim>,
+}
+
+impl Allowances {
+    fn of(&mut self, tenant: &Name) -> &mut Allowance {
+        if !self.by_tenant.contains_key(tenant) {
+            self.by_tenant.insert(tenant.clone(), Allowance::default());
+        }
+        self.by_tenant.get_mut(tenant).expect("it was inserted")
+    }
+
+    /// A new operation of a tenant. One that is to wait counts as waiting until [`Allowances::stop_waiting`].
+    pub fn admit(&mut self, now: Millis, tenant: &Name) -> Admission {
+        let since = self.unsettled_since;
+        let allowance = self.of(tenant);
+        allowance.note_asked(now);
+        let admission = allowance.admit(now, since);
+        allowance.waiting += u64::from(admission == Admission::Wait);
+        admission
+    }
+
+    /// The same for one that waits, after a settlement.
+    pub fn admit_waiting(&mut self, now: Millis, tenant: &Name) -> Admission {
+        let since = self.unsettled_since;
+        self.of(tenant).admit(now, since)
+    }
+
+    /// One that waited for too long: it runs on credit, or is rejected.
+    pub fn borrow(&mut self, now: Millis, tenant: &Name) -> Admission {
+        let since = self.unsettled_since.unwrap_or(now);
+        self.of(tenant).borrow(now, since)
+    }
+
+    /// An operation waits no more.
+    pub fn stop_waiting(&mut self, tenant: &Name) {
+        let allowance = self.of(tenant);
+        allowance.waiting = allowance.waiting.saturating_sub(1);
+    }
+
+    /// Takes a token for something that need not run, if one is there.
+    pub fn take_spare(&mut self, now: Millis, tenant: &Name) -> bool {
+        self.by_tenant.get_mut(tenant).is_some_and(|allowance| allowance.take_spare(now))
+    }
+
+    /// The claims of a settlement, which is to end with [`Allowances::settled`] or [`Allowances::not_settled`]; empty if
+    /// there is nothing to settle.
+    pub fn begin_settlement(&mut self, now: Millis, interval: Millis) -> Vec<Claim> {
+        self.by_tenant.retain(|_, allowance| !allowance.is_unused(now));
+        let mut claims = Vec::new();
+        for (tenant, allowance) in &mut self.by_tenant {
+            claims.extend(allowance.claim(now, tenant, interval));
+        }
+        self.under_way = claims.clone();
+        claims
+    }
+
+    /// The tail has answered.
+    pub fn settled(&mut self, grants: &[Grant]) {
+        self.unsettled_since = None;
+        self.under_way.clear();
+        for grant in grants {
+            self.of(&grant.tenant).settled(grant);
+        }
+    }
+
+    /// No tail has answered.
+    pub fn not_settled(&mut self, now: Millis) {
+        self.unsettled_since = self.unsettled_since.or(Some(now));
+        for claim in std::mem::take(&mut self.under_way) {
+            self.of(&claim.tenant).not_settled(&claim);
+        }
+    }
+
+    /// Whether an operation waits for a settlement.
+    pub fn has_waiting(&self) -> bool {
+        self.by_tenant.values().any(|allowance| allowance.waiting > 0)
+    }
+}
--- /dev/null
+++ b/crates/quota/tests/fleet/mod.rs
@@ -0,0 +1,285 @@
+//! A fleet of nodes and the keeper that settles with them, in steps of virtual time: requests and replies get lost, nodes
+//! are cut off, killed and back, the keeper goes and another takes over, a tenant floods.
+use quincehatch_core::{Millis, Name};
+use quincehatch_quota::{Admission, Allowances, Claim, Grant, Ledger, Limit, Tolerance};
+use std::collections::{BTreeMap, VecDeque};
+
+pub const STEP: Millis = 5;
+/// Time between two settlements of a node.
+const INTERVAL: Millis = 200;
+/// A settlement that was not answered by then is given up.
+const SETTLE_TIMEOUT: Millis = 60;
+/// Time of a message.
+const HOP: Millis = 5;
+/// A node that no settlement reached for so long has lost its lease and runs nothing.
+const LEASE: Millis = 4_000;
+
+/// What is wrong on purpose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Bug {
+    None,
+    /// The keeper that lost its place goes on granting beside the new one.
+    TwoTails,
+    /// A grant is booked twice by the node.
+    GrantAppliedTwice,
+    /// What nodes ran on credit is never charged.
+    CreditForgotten,
+}
+
+/// One tenant, and what comes for it.
+#[derive(Clone, Debug)]
+pub struct Load {
+    pub tenant: Name,
+    pub limit: Limit,
+    /// Operations a second over all nodes.
+    pub per_s: f64,
+    /// Nodes that its clients come to.
+    pub nodes: usize,
+}
+
+/// A message on its way.
+enum Message {
+    Claims { node: usize, settlement: u64, claims: Vec<Claim> },
+    Grants { node: usize, settlement: u64, grants: Vec<Grant> },
+}
+
+pub struct FleetNode {
+    name: Name,
+    allowances: Allowances,
+    /// Operations that wait, by tenant, with the time when they give up.
+    waiting: VecDeque<(Name, Millis)>,
+    /// The settlement under way: its number, and when it is given up.
+    under_way: Option<(u64, Millis)>,
+    next_settlement_at: Millis,
+    answered_at: Millis,
+    pub is_cut: bool,
+    pub down_until: Millis,
+}
+
+impl FleetNode {
+    fn new(index: usize, now: Millis) -> FleetNode {
+        FleetNode {
+            name: format!("node-{index}").into(),
+            allowances: Allowances::default(),
+            waiting: VecDeque::new(),
+            under_way: None,
+            next_settlement_at: now + fastrand::u64(0..INTERVAL),
+            answered_at: now,
+            is_cut: false,
+            down_until: 0,
+        }
+    }
+}
+
+pub struct Fleet {
+    pub now: Millis,
+    pub nodes: Vec<FleetNode>,
+    pub loads: Vec<Load>,
+    pub loss_percent: u32,
+    tails: Vec<Ledger>,
+    /// No keeper settles until then.
+    pub no_tail_until: Millis,
+    messages: VecDeque<(Millis, Message)>,
+    next_settlement: u64,
+    bug: Bug,
+    /// When operations ran, by tenant.
+    pub ran: BTreeMap<Name, Vec<Millis>>,
+    pub rejected: BTreeMap<Name, u64>,
+}
+
+impl Fleet {
+    pub fn new(nodes: usize, loads: Vec<Load>, bug: Bug) -> Fleet {
+        let mut fleet = Fleet {
+            now: 0,
+            nodes: (0..nodes).map(|index| FleetNode::new(index, 0)).collect(),
+            loads,
+            loss_percent: 0,
+            tails: Vec::new(),
+            no_tail_until: 0,
+            messages: VecDeque::new(),
+            next_settlement: 0,
+            bug,
+            ran: BTreeMap::new(),
+            rejected: BTreeMap::new(),
+        };
+        fleet.change_tail(0);
+        fleet
+    }
+
+    /// The keeper that settles goes; another takes over after `gap`.
+    pub fn change_tail(&mut self, gap: Millis) {
+        if self.bug != Bug::TwoTails {
+            self.tails.clear();
+        }
+        let mut ledger = Ledger::new(self.now + gap, self.nodes.len(), Tolerance::default());
+        let limits = self.loads.iter().map(|load| (load.tenant.clone(), load.limit)).collect();
+        ledger.set_limits(self.now + gap, 1, &limits);
+        self.tails.push(ledger);
+        self.no_tail_until = self.now + gap;
+    }
+
+    /// A node's process dies with the tokens it held, and is back after `down`.
+    pub fn kill(&mut self, index: usize, down: Millis) {
+        let back_at = self.now + down;
+        self.nodes[index] = FleetNode { down_until: back_at, ..FleetNode::new(index, back_at) };
+    }
+
+    pub fn run(&mut self, duration: Millis) {
+        let end = self.now + duration;
+        while self.now < end {
+            self.now += STEP;
+            self.deliver();
+            self.arrive();
+            self.settle();
+        }
+    }
+
+    fn has_lease(&self, node: usize) -> bool {
+        let node = &self.nodes[node];
+        self.now >= node.down_until && self.now < node.answered_at + LEASE
+    }
+
+    fn arrive(&mut self) {
+        for load in self.loads.clone() {
+            let mut expected = load.per_s * STEP as f64 / 1_000.0;
+            while expected > 0.0 {
+                if fastrand::f64() < expected {
+                    let node = fastrand::usize(0..load.nodes.min(self.nodes.len()));
+                    self.operation(node, &load.tenant);
+                }
+                expected -= 1.0;
+            }
+        }
+    }
+
+    fn operation(&mut self, index: usize, tenant: &Name) {
+        if !self.has_lease(index) {
+            return;
+        }
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        let admission = node.allowances.admit(now, tenant);
+        if admission == Admission::Wait {
+            node.waiting.push_back((tenant.clone(), now + SETTLE_TIMEOUT));
+            node.next_settlement_at = now;
+        }
+        self.note(tenant, admission);
+    }
+
+    fn note(&mut self, tenant: &Name, admission: Admission) {
+        match admission {
+            Admission::Admitted => self.ran.entry(tenant.clone()).or_default().push(self.now),
+            Admission::Rejected => *self.rejected.entry(tenant.clone()).or_default() += 1,
+            Admission::Wait => {}
+        }
+    }
+
+    fn settle(&mut self) {
+        for index in 0..self.nodes.len() {
+            self.give_up_waits(index);
+            let now = self.now;
+            let node = &mut self.nodes[index];
+            if node.under_way.is_some_and(|(_, until)| until <= now) {
+                node.under_way = None;
+                node.allowances.not_settled(now);
+            }
+            if now < node.down_until || node.under_way.is_some() || now < node.next_settlement_at {
+                continue;
+            }
+            let claims = node.allowances.begin_settlement(now, INTERVAL);
+            node.next_settlement_at = now + INTERVAL;
+            if claims.is_empty() {
+                let is_reached = !node.is_cut && now >= self.no_tail_until;
+                if is_reached {
+                    node.answered_at = now;
+                    let tail = index % self.tails.len();
+                    self.tails[tail].note_contact(now, &node.name);
+                }
+                continue;
+            }
+            self.next_settlement += 1;
+            let settlement = self.next_settlement;
+            node.under_way = Some((settlement, now + SETTLE_TIMEOUT));
+            let is_lost = node.is_cut || fastrand::u32(0..100) < self.loss_percent;
+            if !is_lost {
+                self.messages.push_back((now + HOP, Message::Claims { node: index, settlement, claims }));
+            }
+        }
+    }
+
+    fn give_up_waits(&mut self, index: usize) {
+        while let Some((tenant, until)) = self.nodes[index].waiting.front().cloned() {
+            if until > self.now {
+                return;
+            }
+            self.nodes[index].waiting.pop_front();
+            self.nodes[index].allowances.stop_waiting(&tenant);
+            let admission = self.nodes[index].allowances.borrow(self.now, &tenant);
+            self.note(&tenant, admission);
+        }
+    }
+
+    fn deliver(&mut self) {
+        while self.messages.front().is_some_and(|(at, _)| *at <= self.now) {
+            let Some((_, message)) = self.messages.pop_front() else { return };
+            match message {
+                Message::Claims { node, settlement, claims } => self.deliver_claims(node, settlement, claims),
+                Message::Grants { node, settlement, grants } => self.deliver_grants(node, settlement, grants),
+            }
+        }
+    }
+
+    fn deliver_claims(&mut self, node: usize, settlement: u64, mut claims: Vec<Claim>) {
+        if self.now < self.no_tail_until {
+            return;
+        }
+        if self.bug == Bug::CreditForgotten {
+            claims.iter_mut().for_each(|claim| claim.overdrawn = 0);
+        }
+        let tail = node % self.tails.len();
+        let grants = self.tails[tail].settle(self.now, &self.nodes[node].name.clone(), &claims);
+        if !self.nodes[node].is_cut && fastrand::u32(0..100) >= self.loss_percent {
+            self.messages.push_back((self.now + HOP, Message::Grants { node, settlement, grants }));
+        }
+    }
+
+    fn deliver_grants(&mut self, index: usize, settlement: u64, grants: Vec<Grant>) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        if node.under_way.is_none_or(|(number, _)| number != settlement) {
+            return;
+        }
+        node.under_way = None;
+        node.answered_at = now;
+        node.allowances.settled(&grants);
+        if self.bug == Bug::GrantAppliedTwice {
+            node.allowances.settled(&grants);
+        }
+        for (tenant, until) in std::mem::take(&mut self.nodes[index].waiting) {
+            let admission = self.nodes[index].allowances.admit_waiting(now, &tenant);
+            if admission == Admission::Wait {
+                self.nodes[index].waiting.push_back((tenant, until));
+                self.nodes[index].next_settlement_at = now;
+                continue;
+            }
+            self.nodes[index].allowances.stop_waiting(&tenant);
+            self.note(&tenant, admission);
+        }
+    }
+}
+
+/// The most operations that ran within any window beyond what the tolerance allows; 0 if none did.
+pub fn worst_excess(ran: &[Millis], limit: Limit) -> u64 {
+    let tolerance = Tolerance::default();
+    let allowed = limit.in_window(tolerance.window);
+    let tolerated = allowed + allowed * tolerance.excess_percent / 100 + tolerance.slack;
+    let mut first = 0;
+    let mut worst = 0;
+    for (last, at) in ran.iter().enumerate() {
+        while ran[first] + tolerance.window <= *at {
+            first += 1;
+        }
+        worst = worst.max(((last - first + 1) as u64).saturating_sub(tolerated));
+    }
+    worst
+}
--- a/crates/simulator/src/control/call_kind.rs
+++ b/crates/simulator/src/control/call_kind.rs
@@ -11,6 +11,8 @@
     Read,
     Adopted,
     Feed,
+    Settlement,
+    Quota,
 }
 
 impl CallKind {
@@ -23,6 +25,8 @@
             Request::ReadStore => CallKind::Read,
             Request::ReadDocument => CallKind::Adopted,
             Request::Feed { .. } => CallKind::Feed,
+            Request::SettleQuota { .. } => CallKind::Settlement,
+            Request::ReadQuota => CallKind::Quota,
         }
     }
     /// True if the reply is one that such a call may get.
@@ -32,10 +36,12 @@
             Reply::Answer { .. } => self == CallKind::Write,
             Reply::Store { .. } => self == CallKind::Read,
             Reply::Document { .. } => self == CallKind::Adopted,
-            Reply::Changes { .. }
-            | Reply::Snapshot { .. }
-            | Reply::PackedSnapshot { .. }
-            | Reply::NotEnrolled => self == CallKind::Feed,
+            Reply::Changes { .. } | Reply::Snapshot { .. } | Reply::PackedSnapshot { .. } => {
+                self == CallKind::Feed
+            }
+            Reply::NotEnrolled => matches!(self, CallKind::Feed | CallKind::Settlement),
+            Reply::QuotaGranted { .. } => self == CallKind::Settlement,
+            Reply::Quota { .. } => self == CallKind::Quota,
             Reply::Redirect { .. } | Reply::Rejected { .. } => true,
         }
     }
--- a/crates/store/src/keeper.rs
+++ b/crates/store/src/keeper.rs
@@ -33,6 +33,7 @@
 use feed_updates::PackedConfiguration;
 use membership::{Discovery, Leaving};
 use quincehatch_core::{ChangeNumber, Millis, Name, Version, hash64};
+use quincehatch_quota::{Ledger, Tolerance};
 use quincehatch_runtime::seam;
 use recent_changes::RecentChanges;
 use requests::{CommitTimes, PendingWrite, Polls};
@@ -113,6 +114,9 @@
     /// The leases granted as the tail of the view before, to be handed to the present tail.
     previous_node_leases: Option<NodeLeases>,
     dismissed_leases: DismissedLeases,
+    /// What tenants ran, as the tail of the present view.
+    quota_ledger: Option<Ledger>,
+    quota_tolerance: Tolerance,
 
     // Membership.
     discovery: Option<Discovery>,
@@ -171,6 +175,8 @@
             node_leases: None,
             previous_node_leases: None,
             dismissed_leases: DismissedLeases::new(unknown_leases_until),
+            quota_ledger: None,
+            quota_tolerance: Tolerance::default(),
             discovery: None,
             invitation: None,
             leaving: None,
@@ -192,6 +198,12 @@
         self
     }
 
+    /// Sets by how much tenants may exceed their limits.
+    pub fn with_quota_tolerance(mut self, tolerance: Tolerance) -> Self {
+        self.quota_tolerance = tolerance;
+        self
+    }
+
     /// Takes note of the size of the keeper's data directory.
     pub fn set_disk_usage(&mut self, usage: DiskUsage) {
         self.disk_usage = usage;
--- a/crates/store/src/keeper/requests.rs
+++ b/crates/store/src/keeper/requests.rs
@@ -5,6 +5,7 @@
 mod commit_times;
 mod polls;
 mod quorum_contact;
+mod quota;
 mod voters;
 mod writes;
 
@@ -27,9 +28,17 @@
             Request::Status => Some(Reply::Status { status: self.status() }),
             Request::ChangeVoters { version, voters } => Some(self.change_voters(version, voters)),
             Request::Write { key, command } => self.write(token, key, command),
-            Request::ReadStore | Request::ReadDocument if !self.can_commit() => Some(self.redirect()),
+            Request::ReadStore | Request::ReadDocument | Request::SettleQuota { .. } | Request::ReadQuota
+                if !self.can_commit() =>
+            {
+                Some(self.redirect())
+            }
             Request::ReadDocument => Some(Reply::Document { document: self.store.adopted.clone() }),
             Request::ReadStore => Some(Reply::Store { store: Box::new(self.store.clone()) }),
+            Request::SettleQuota { node, enrolled, claims } => {
+                Some(self.settle_quota(&node, enrolled, &claims))
+            }
+            Request::ReadQuota => Some(Reply::Quota { tenants: self.quota_usage() }),
             // Taken above.
             Request::Feed { .. } => None,
         };
--- a/crates/store/src/keeper/requests/polls.rs
+++ b/crates/store/src/keeper/requests/polls.rs
@@ -169,6 +169,7 @@
         }
         let (now, applied) = (self.now, poll.last_change.min(self.store.last_change));
         self.node_leases().grant(now, &poll.node, &poll.addr, applied);
+        self.note_quota_contact(&poll.node);
         true
     }
 
--- a/crates/store/src/keeper/view_adoption.rs
+++ b/crates/store/src/keeper/view_adoption.rs
@@ -29,6 +29,10 @@
         let stays_in_sync = self.in_sync && has_same_predecessor && was_tail && self.is_tail();
         self.in_sync = (self.is_head() && !self.catching_up) || stays_in_sync;
         self.move_node_leases(was_tail, is_next);
+        // Another tail may have granted since, unless this keeper was the tail of the view just before.
+        if !(was_tail && is_next && self.is_tail()) {
+            self.quota_ledger = None;
+        }
         if !self.is_member() {
             self.hand_over_leases();
         }
--- a/crates/store/src/messages/client.rs
+++ b/crates/store/src/messages/client.rs
@@ -6,6 +6,7 @@
 use crate::store::{AdoptedDocument, Store};
 use crate::view::{View, Voter};
 use quincehatch_core::{ChangeNumber, Error, Millis, Name, Version, messages};
+use quincehatch_quota::{Claim, Grant, TenantUsage};
 
 messages! {
     /// Everything that a keeper receives over its listener.
@@ -71,7 +72,18 @@
         /// The keeper's own status.
         Status,
         /// The view that the keeper knows. A status has every node's lease, which many nodes do not need to ask for.
-        CurrentView
+        CurrentView,
+        /// A node settles its tenants' operations with the tail.
+        SettleQuota {
+            /// The node's name.
+            node: Name,
+            /// The number of the entry that enrolled the node's process.
+            enrolled: ChangeNumber,
+            /// What it says of each tenant of which there is something to say.
+            claims: Vec<Claim>
+        },
+        /// What the tail knows of tenants' operations.
+        ReadQuota
     }
 
     /// The reply to a [`Request`].
@@ -131,6 +143,16 @@
             /// The term of the node's lease, from the time when the node sent its poll; 0 if the snapshot lacks changes,
             /// which the next poll brings.
             lease_ms: Millis
+        },
+        /// What the tail grants a node.
+        QuotaGranted {
+            /// One for each claim.
+            grants: Vec<Grant>
+        },
+        /// What the tail knows of tenants' operations.
+        Quota {
+            /// Each tenant that has a limit.
+            tenants: Vec<TenantUsage>
         }
     }
 }
--- a/crates/store/src/messages/idempotency.rs
+++ b/crates/store/src/messages/idempotency.rs
@@ -56,9 +56,13 @@
             // Repeated after it took effect it would be rejected, because the view's version has changed: the sender
             // would be told that it failed.
             Request::ChangeVoters { .. } => RetrySafety::Never,
-            Request::ReadStore | Request::ReadDocument | Request::Status | Request::CurrentView => {
-                RetrySafety::ReadOnly
-            }
+            // A repeated settlement would be granted tokens twice, and the first ones would be lost.
+            Request::SettleQuota { .. } => RetrySafety::Never,
+            Request::ReadStore
+            | Request::ReadDocument
+            | Request::ReadQuota
+            | Request::Status
+            | Request::CurrentView => RetrySafety::ReadOnly,
         }
     }
 }
--- a/crates/store/src/messages/kinds.rs
+++ b/crates/store/src/messages/kinds.rs
@@ -35,6 +35,8 @@
             Request::ReadDocument => "read_document",
             Request::Status => "status",
             Request::CurrentView => "current_view",
+            Request::SettleQuota { .. } => "settle_quota",
+            Request::ReadQuota => "read_quota",
         }
     }
 }
--- a/crates/store/src/stale_reply.rs
+++ b/crates/store/src/stale_reply.rs
@@ -12,7 +12,9 @@
         | Reply::Snapshot { .. }
         | Reply::PackedSnapshot { .. }
         | Reply::Store { .. }
-        | Reply::Document { .. } => Reply::Redirect { view: view.clone() },
+        | Reply::Document { .. }
+        | Reply::QuotaGranted { .. }
+        | Reply::Quota { .. } => Reply::Redirect { view: view.clone() },
         Reply::Answer { .. } => {
             let error = ErrorCode::ChainUnavailable
                 .with_detail("the lease ended while the disk was written")
