An operation waits for its token while its connection is made ready

Cause: an operation that found no token waited for the tail first and for its connection afterwards. Change: admission begins before the connection is checked out, and is waited for before anything is sent.

--- a/crates/proxy/src/direct/begin.rs
+++ b/crates/proxy/src/direct/begin.rs
@@ -13,6 +13,7 @@
 use super::transaction::OpenTransaction;
 use crate::ports::{RejectReason, ServerCall, ServerReply, TransactionState};
 use crate::routing::in_flight::InFlightGuard;
+use crate::tenants::OperationAdmission;
 use quincehatch_core::{Error, ErrorCode, FencingToken};
 use quincehatch_runtime::now;
 
@@ -31,9 +32,21 @@
     },
     /// The server stopped being the primary before anything was sent.
     NotStarted,
+    /// The tenant is at its limit.
+    Rejected(Error),
     Retry(Error),
 }
 
+/// What all attempts to begin one transaction share.
+#[derive(Clone, Copy)]
+struct BeginContext<'a> {
+    direct: &'a DirectProxy,
+    settings: &'a SessionSettings,
+    deadlines: Deadlines,
+    /// Nothing is sent to a server before it is granted.
+    admission: &'a OperationAdmission<'a>,
+}
+
 impl BeginRequest {
     /// Begins the transaction at a server that fits.
     ///
@@ -44,8 +57,9 @@
         direct: &DirectProxy,
         settings: &SessionSettings,
     ) -> Result<OpenTransaction, Error> {
-        direct.admit_operation(&self.route).await?;
+        let admission = direct.admit_operation(&self.route)?;
         let deadlines = self.route.transaction_deadlines();
+        let context = BeginContext { direct, settings, deadlines, admission: &admission };
         let on_any_server = self.read_only && !self.route.primary_only;
         let mut tried = Vec::new();
         let mut backoff = Backoff::default();
@@ -62,11 +76,13 @@
                 Some(ReadTarget { server, floor: None })
             };
             if let Some(target) = target {
-                match self.attempt(direct, settings, &target, deadlines).await {
+                match self.attempt(context, &target).await {
                     BeginAttempt::Begun { checkout, fence } => {
+                        drop(admission);
                         return Ok(self.opened(checkout, target, fence, in_flight));
                     }
                     BeginAttempt::NotStarted => {}
+                    BeginAttempt::Rejected(error) => return Err(error),
                     BeginAttempt::Retry(error) => last_error = error,
                 }
                 tried.push(target.server);
@@ -99,19 +115,18 @@
         }
     }
 
-    async fn attempt(
-        &self,
-        direct: &DirectProxy,
-        settings: &SessionSettings,
-        target: &ReadTarget,
-        deadlines: Deadlines,
-    ) -> BeginAttempt {
+    async fn attempt(&self, begin: BeginContext<'_>, target: &ReadTarget) -> BeginAttempt {
+        let BeginContext { direct, settings, deadlines, admission } = begin;
         let (route, server) = (&self.route, &target.server);
         let request = CheckoutRequest::new(route, settings, deadlines.start_by);
         let mut checkout = match check_out(direct, server, request).await {
             Ok(checkout) => checkout,
             Err(error) => return BeginAttempt::Retry(error.code().without_detail()),
         };
+        if let Err(error) = admission.wait().await {
+            checkout.check_in();
+            return BeginAttempt::Rejected(error);
+        }
         let was_replaced = target.is_primary() && fence_if_accepting(direct, &route.group, server).is_none();
         // Its key may have been revoked while it waited.
         if was_replaced || direct.check_tenant(route).is_err() {
--- a/crates/proxy/src/direct/primary_statement.rs
+++ b/crates/proxy/src/direct/primary_statement.rs
@@ -76,6 +76,10 @@
         Ok(checkout) => checkout,
         Err(error) => return Attempt::Rejected(error.code().without_detail()),
     };
+    if let Err(error) = run.admission.wait().await {
+        checkout.check_in();
+        return Attempt::Finished(StatementResponse::failed(error, TransactionState::Idle));
+    }
     let fence = fence_if_accepting(direct, &route.group, &server);
     // Its key may have been revoked while it waited.
     let Some(fence) = fence.filter(|_| direct.check_tenant(route).is_ok()) else {
--- a/crates/proxy/src/direct/proxy.rs
+++ b/crates/proxy/src/direct/proxy.rs
@@ -5,7 +5,7 @@
 use crate::Proxy;
 use crate::pool::limits::keepalive_settings;
 use crate::ports::ServerConnector;
-use crate::tenants::ClientKey;
+use crate::tenants::{ClientKey, OperationAdmission};
 use bytes::Bytes;
 use quincehatch_core::{Error, ErrorCode, Millis, Name};
 use quincehatch_runtime::{now, seam};
@@ -122,10 +122,13 @@
     ///
     /// # Errors
     /// `QuotaExceeded` where the route's tenant is at its limit.
-    pub(super) async fn admit_operation(&self, route: &ResolvedRoute) -> Result<(), Error> {
+    pub(super) fn admit_operation<'a>(
+        &'a self,
+        route: &'a ResolvedRoute,
+    ) -> Result<OperationAdmission<'a>, Error> {
         match self.counted_tenant(route) {
-            Some(tenant) => self.proxy.quota.admit(tenant).await,
-            None => Ok(()),
+            Some(tenant) => self.proxy.quota.admit(tenant),
+            None => Ok(OperationAdmission::granted()),
         }
     }
 
--- a/crates/proxy/src/direct/replica_read.rs
+++ b/crates/proxy/src/direct/replica_read.rs
@@ -92,6 +92,10 @@
         Ok(checkout) => checkout,
         Err(error) => return Attempt::Retry(error.code().without_detail()),
     };
+    if let Err(error) = run.admission.wait().await {
+        checkout.check_in();
+        return Attempt::Finished(StatementResponse::failed(error, TransactionState::Idle));
+    }
     let was_replaced = target.is_primary() && fence_if_accepting(direct, &route.group, server).is_none();
     // Its key may have been revoked while it waited.
     if was_replaced || direct.check_tenant(route).is_err() {
--- a/crates/proxy/src/direct/session.rs
+++ b/crates/proxy/src/direct/session.rs
@@ -155,8 +155,7 @@
             Some(Transaction::Open(open)) => match self.direct.check_tenant(&open.route) {
                 Ok(()) => open.commit(&self.direct, id).await,
                 Err(_) => {
-                    let error = transaction_lost("its key was revoked");
-                    StatementResponse::failed(error, TransactionState::Idle)
+                    StatementResponse::failed(transaction_lost("its key is revoked"), TransactionState::Idle)
                 }
             },
             // Nothing was run in it; the commit goes to a server all the same, as its success is the server's to report.
@@ -230,7 +229,12 @@
             Err(response) => return response,
         };
         let (direct, settings) = (&*self.direct, self.setup.settings());
-        run_single(SingleStatement { direct, route: &route, settings, statement }).await
+        let admission = match direct.admit_operation(&route) {
+            Ok(admission) => admission,
+            Err(error) => return StatementResponse::failed(error, TransactionState::Idle),
+        };
+        run_single(SingleStatement { direct, route: &route, settings, statement, admission: &admission })
+            .await
     }
 
     async fn run_in_transaction(
--- a/crates/proxy/src/direct/single_statement.rs
+++ b/crates/proxy/src/direct/single_statement.rs
@@ -3,16 +3,12 @@
 use super::replica_read::{TriedServers, run_on_any};
 use super::response::StatementResponse;
 use super::statement::SingleStatement;
-use crate::ports::TransactionState;
 use quincehatch_runtime::seam;
 use std::pin::pin;
 use std::time::Duration;
 
 /// Runs one statement where its route says. Reads are hedged.
 pub(super) async fn run_single(run: SingleStatement<'_>) -> StatementResponse {
-    if let Err(error) = run.direct.admit_operation(run.route).await {
-        return StatementResponse::failed(error, TransactionState::Idle);
-    }
     run.direct.proxy.retry_budget.earn();
     if run.statement.write {
         return run_on_primary(run).await;
--- a/crates/proxy/src/direct/statement.rs
+++ b/crates/proxy/src/direct/statement.rs
@@ -6,6 +6,7 @@
 use super::route::ResolvedRoute;
 use super::session_setup::PreparedStatement;
 use crate::ports::{RejectReason, ServerCall, ServerReply};
+use crate::tenants::OperationAdmission;
 use bytes::Bytes;
 use quincehatch_core::{Millis, Position};
 use quincehatch_runtime::{now, seam};
@@ -50,6 +51,8 @@
     pub route: &'a ResolvedRoute,
     pub settings: &'a SessionSettings,
     pub statement: &'a Statement,
+    /// Nothing is sent to a server before it is granted.
+    pub admission: &'a OperationAdmission<'a>,
 }
 
 /// What is to run on a connection, and in which state of the session.
--- a/crates/proxy/src/tenants/admission.rs
+++ b/crates/proxy/src/tenants/admission.rs
@@ -3,8 +3,9 @@
 use quincehatch_quota::{Admission, Allowances, Claim, Grant};
 use quincehatch_runtime::{now, seam};
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, OnceCell};
 
 /// An operation that finds no token waits so long for the tail; then it runs on credit, or is rejected.
 const SETTLE_WAIT: Millis = 60;
@@ -21,45 +22,93 @@
     settled: Notify,
 }
 
-/// An operation that waits; it counts as one until this is dropped.
+/// An operation on its way: it has its token, or waits for one while its connection to a server is made ready.
+pub struct OperationAdmission<'a> {
+    waiting: Option<WaitingOperation<'a>>,
+    result: OnceCell<Result<(), Error>>,
+}
+
+/// An operation that waits. It counts as one until it was admitted or rejected, or this is dropped.
 struct WaitingOperation<'a> {
     gate: &'a QuotaGate,
     tenant: &'a Name,
+    /// It waits no longer.
+    until: Millis,
+    is_over: AtomicBool,
 }
 
 impl Drop for WaitingOperation<'_> {
     fn drop(&mut self) {
-        self.gate.allowances.lock().unwrap().stop_waiting(self.tenant);
+        self.stop();
+    }
+}
+
+impl OperationAdmission<'_> {
+    /// The operation needs no token, or has it.
+    pub fn granted() -> OperationAdmission<'static> {
+        OperationAdmission { waiting: None, result: OnceCell::new() }
+    }
+
+    /// Waits for the token. Nothing of the operation may run before.
+    ///
+    /// # Errors
+    /// `QuotaExceeded` where the tenant turns out to be at its limit. Nothing was run.
+    pub async fn wait(&self) -> Result<(), Error> {
+        let Some(waiting) = &self.waiting else { return Ok(()) };
+        self.result.get_or_init(|| waiting.wait()).await.clone()
+    }
+}
+
+impl WaitingOperation<'_> {
+    async fn wait(&self) -> Result<(), Error> {
+        loop {
+            // Taken before the look, so that no settlement is missed between the look and the wait.
+            let settled = self.gate.settled.notified();
+            let admission = self.look();
+            if admission != Admission::Wait {
+                self.stop();
+                return to_result(admission);
+            }
+            self.gate.wanted.notify_one();
+            let left = Duration::from_millis(self.until.saturating_sub(now()));
+            let _ = seam::timeout(left, settled).await;
+        }
+    }
+
+    fn stop(&self) {
+        if !self.is_over.swap(true, Ordering::SeqCst) {
+            self.gate.allowances.lock().unwrap().stop_waiting(self.tenant);
+        }
+    }
+
+    fn look(&self) -> Admission {
+        let mut allowances = self.gate.allowances.lock().unwrap();
+        if now() < self.until {
+            allowances.admit_waiting(now(), self.tenant)
+        } else {
+            allowances.borrow(now(), self.tenant)
+        }
     }
 }
 
 impl QuotaGate {
-    /// Admits an operation of a tenant that has a limit.
+    /// Begins to admit an operation of a tenant that has a limit.
     ///
     /// # Errors
-    /// `QuotaExceeded` where the tenant is at its limit. Nothing was run.
-    pub async fn admit(&self, tenant: &Name) -> Result<(), Error> {
-        // Taken before the look, so that no settlement is missed between the look and the wait.
-        let mut settled = self.settled.notified();
-        let mut admission = self.allowances.lock().unwrap().admit(now(), tenant);
+    /// `QuotaExceeded` where the tenant is known to be at its limit. Nothing was run.
+    pub fn admit<'a>(&'a self, tenant: &'a Name) -> Result<OperationAdmission<'a>, Error> {
+        let admission = self.allowances.lock().unwrap().admit(now(), tenant);
         if admission != Admission::Wait {
-            return to_result(admission);
-        }
-        let _waiting = WaitingOperation { gate: self, tenant };
-        let until = now() + SETTLE_WAIT;
-        while admission == Admission::Wait {
-            self.wanted.notify_one();
-            let left = Duration::from_millis(until.saturating_sub(now()));
-            let in_time = seam::timeout(left, settled).await.is_ok();
-            settled = self.settled.notified();
-            let mut allowances = self.allowances.lock().unwrap();
-            admission = if in_time && now() < until {
-                allowances.admit_waiting(now(), tenant)
-            } else {
-                allowances.borrow(now(), tenant)
-            };
+            return to_result(admission).map(|()| OperationAdmission::granted());
         }
-        to_result(admission)
+        self.wanted.notify_one();
+        let waiting = WaitingOperation {
+            gate: self,
+            tenant,
+            until: now() + SETTLE_WAIT,
+            is_over: AtomicBool::new(false),
+        };
+        Ok(OperationAdmission { waiting: Some(waiting), result: OnceCell::new() })
     }
 
     /// Takes a token for a second copy of a statement, if one is at hand.
--- a/crates/proxy/src/tenants/mod.rs
+++ b/crates/proxy/src/tenants/mod.rs
@@ -3,6 +3,6 @@
 mod client_key;
 mod directory;
 
-pub use admission::QuotaGate;
+pub use admission::{OperationAdmission, QuotaGate};
 pub use client_key::ClientKey;
 pub use directory::TenantDirectory;
