Congested servers are asked for one connection a second; credit for calm tenants

And a node that settles with no tail rejected whatever tenant it had not seen in 3 s. Change: at a congested server idle connections stay their tenants', and a proxy opens one a second; idle connections are kept as before tenants. A node remembers a tenant's pace for a minute, and a tenant with headroom may borrow one operation at each node; an operation that waits for a slow tail tries credit after 30 ms and is rejected after 300 ms.

--- a/crates/proxy/src/direct/open_gate.rs
+++ b/crates/proxy/src/direct/open_gate.rs
@@ -11,12 +11,15 @@
 
 /// A server that rejected a statement as it is busy counts as congested for so long.
 const CONGESTED_FOR: Millis = 200;
+/// The least time between two connections that a proxy opens to a congested server.
+const CONGESTED_OPEN_INTERVAL: Millis = 1_000;
 
 /// When connections to one server may be opened.
 ///
 /// The pause at a full server grows while it takes none, and until it takes one a single attempt is made each time:
 /// hundreds of proxies with a queue each would otherwise keep it busy with rejections. A congested server is asked for no
-/// connection beside those that the proxy has: to open one takes it longer than a statement, so it would stay congested.
+/// connection while the proxy uses one there, and else for one a second: to open one takes it longer than a statement, so
+/// it would stay congested. Where connections belong to tenants, those who have none wait, or are rejected, meanwhile.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct OpenGate {
     /// Rejections since the server last took a connection.
@@ -24,12 +27,14 @@
     until: Millis,
     crowded_until: Millis,
     congested_until: Millis,
+    opened_at: Option<Millis>,
 }
 
 impl OpenGate {
-    /// Whether a proxy that has so many connections, or has as many to come, may not open one now.
-    pub fn is_closed(&self, now: Millis, connections: usize) -> bool {
-        self.is_backing_off(now) || (connections > 0 && self.congested_until > now)
+    /// Whether a proxy that uses so many connections, or has as many to come, may not open one now.
+    pub fn is_closed(&self, now: Millis, in_use: usize) -> bool {
+        let opened_lately = self.opened_at.is_some_and(|at| now < at + CONGESTED_OPEN_INTERVAL);
+        self.is_backing_off(now) || (self.congested_until > now && (in_use > 0 || opened_lately))
     }
 
     /// When to look again.
@@ -69,7 +74,8 @@
         }
     }
 
-    pub fn note_taken(&mut self) {
+    pub fn note_taken(&mut self, now: Millis) {
+        self.opened_at = Some(now);
         self.rejections = 0;
         self.until = 0;
     }
--- a/crates/proxy/src/direct/open_gate/tests.rs
+++ b/crates/proxy/src/direct/open_gate/tests.rs
@@ -12,7 +12,7 @@
         last = pause;
     }
     assert!(gate.is_backing_off(1_000 + MIN_PAUSE));
-    gate.note_taken();
+    gate.note_taken(1_000);
     assert!(!gate.is_backing_off(1_000));
     assert!(gate.is_crowded(1_000));
 }
@@ -37,3 +37,13 @@
     gate.note_attempt(retry_at);
     assert!(gate.is_backing_off(retry_at));
 }
+
+#[test]
+fn a_congested_server_is_asked_for_one_connection_a_second() {
+    let mut gate = OpenGate::default();
+    gate.note_taken(1_000);
+    gate.note_congested(1_100);
+    assert!(gate.is_closed(1_100, 0));
+    gate.note_congested(1_950);
+    assert!(gate.is_closed(1_999, 0) && !gate.is_closed(2_000, 0));
+}
--- a/crates/proxy/src/direct/pool.rs
+++ b/crates/proxy/src/direct/pool.rs
@@ -163,7 +163,7 @@
 
     /// The server took a connection.
     pub(super) fn note_opened(&self) {
-        self.state.lock().unwrap().gate.note_taken();
+        self.state.lock().unwrap().gate.note_taken(now());
     }
 
     /// An idle connection of the tenant, preferably one with these settings, else the one used last.
@@ -218,13 +218,14 @@
         Permit { pool: self.clone(), generation: state.generation, released: false }
     }
 
-    /// One is checked out no more. The next waiter gets the connection if it is its tenant's, else the right to open one.
-    /// The permit is sent along, so that nothing is lost when the waiter is gone: dropping it passes the right on.
+    /// One is checked out no more. The next waiter gets the connection if it is its tenant's, else the right to open one
+    /// in its place; at a congested server none is opened, and those of other tenants wait on. The permit is sent along, so that nothing is lost when the waiter is gone: dropping it passes the right on.
     fn release(self: &Arc<Self>, connection: Option<Connection>, generation: u64) {
         let mut state = self.state.lock().unwrap();
         state.checked_out -= 1;
         let mut connection = connection.filter(|_| generation == state.generation);
-        while let Some(waiter) = state.waiters.take_next(now(), connection.as_ref()) {
+        let is_congested = state.gate.congested_until() > now();
+        while let Some(waiter) = state.waiters.take_next(now(), connection.as_ref(), is_congested) {
             let permit = self.grant(&mut state);
             let handed_over = connection.take_if(|connection| connection.tenant == waiter.tenant);
             match waiter.sender.send(Handover { connection: handed_over, permit }) {
--- a/crates/proxy/src/direct/proxy.rs
+++ b/crates/proxy/src/direct/proxy.rs
@@ -24,8 +24,6 @@
 /// With an even share of this or more a proxy keeps one connection however seldom it is used: if all do, half of the
 /// server's connections are left for whoever needs more than one.
 const KEEPING_SHARE: usize = 2;
-/// With such a share idle connections wait so many times longer.
-const KEEPING_TERMS: Millis = 8;
 /// Connections that a server takes where the configuration does not say.
 const DEFAULT_SERVER_CONNECTIONS: u64 = 64;
 /// The part of a server's connections that the proxies share, in twentieths: the last one is left for those that watch
@@ -167,10 +165,8 @@
                     continue;
                 }
                 let even = self.connection_share(&server.group()).even.min(BORROW_LIMIT);
-                // Connections serve one tenant each, so where a proxy may hold several they wait longer for theirs.
-                let terms = if even >= KEEPING_SHARE { KEEPING_TERMS } else { 1 };
-                let idle_timeout = IDLE_TIMEOUT * terms * even as Millis / BORROW_LIMIT as Millis;
-                let keep = even / KEEPING_SHARE;
+                let idle_timeout = IDLE_TIMEOUT * even as Millis / BORROW_LIMIT as Millis;
+                let keep = usize::from(even >= KEEPING_SHARE);
                 server.direct_pool.trim(now().saturating_sub(idle_timeout), keep);
             }
             seam::sleep(Duration::from_millis(IDLE_TIMEOUT / BORROW_LIMIT as Millis)).await;
--- a/crates/proxy/src/direct/waiters.rs
+++ b/crates/proxy/src/direct/waiters.rs
@@ -54,17 +54,24 @@
     /// Takes the one out that is served next. `connection` is there for it, if it is its tenant's.
     ///
     /// To open another takes a server longer than a statement does. So one of the connection's tenant goes before others
-    /// of its priority, as long as the first of these has not waited for [`MAX_OVERTAKEN`].
-    pub fn take_next(&mut self, now: Millis, connection: Option<&Connection>) -> Option<Waiting> {
+    /// of its priority, as long as the first of these has not waited for [`MAX_OVERTAKEN`]. At a congested server nobody
+    /// else is taken for a connection.
+    pub fn take_next(
+        &mut self,
+        now: Millis,
+        connection: Option<&Connection>,
+        is_congested: bool,
+    ) -> Option<Waiting> {
         let (first_key, first) = self.by_key.first_key_value()?;
-        let may_be_overtaken = now < first.since + MAX_OVERTAKEN;
+        let may_be_overtaken = is_congested || now < first.since + MAX_OVERTAKEN;
         let same_tenant = |connection: &Connection| {
             let mut of_priority =
                 self.by_key.iter().take_while(|(key, _)| key.priority == first_key.priority);
             of_priority.find(|(_, waiting)| waiting.tenant == connection.tenant).map(|(key, _)| *key)
         };
         let overtaking = connection.filter(|_| may_be_overtaken).and_then(same_tenant);
-        let key = overtaking.unwrap_or(*first_key);
+        let first_in_turn = (connection.is_none() || !is_congested).then_some(*first_key);
+        let key = overtaking.or(first_in_turn)?;
         self.by_key.remove(&key)
     }
 }
--- a/crates/proxy/src/tenants/admission.rs
+++ b/crates/proxy/src/tenants/admission.rs
@@ -7,8 +7,10 @@
 use std::time::Duration;
 use tokio::sync::{Notify, OnceCell};
 
-/// An operation that finds no token waits so long for the tail; then it runs on credit, or is rejected.
-const SETTLE_WAIT: Millis = 60;
+/// An operation that finds no token waits so long for the tail before it runs on credit, if its tenant has any.
+const CREDIT_AFTER: Millis = 30;
+/// Without credit it waits so long in all; then it is rejected. The tail may be busy with a long configuration.
+const MAX_WAIT: Millis = 300;
 /// When a client may come again after its tenant was at its limit.
 const RETRY_AFTER_REJECTION: Millis = 1_000;
 
@@ -32,8 +34,7 @@
 struct WaitingOperation<'a> {
     gate: &'a QuotaGate,
     tenant: &'a Name,
-    /// It waits no longer.
-    until: Millis,
+    began: Millis,
     is_over: AtomicBool,
 }
 
@@ -70,7 +71,9 @@
                 return to_result(admission);
             }
             self.gate.wanted.notify_one();
-            let left = Duration::from_millis(self.until.saturating_sub(now()));
+            let waited = now() - self.began;
+            let limit = if waited < CREDIT_AFTER { CREDIT_AFTER } else { MAX_WAIT };
+            let left = Duration::from_millis(limit.saturating_sub(waited).max(1));
             let _ = seam::timeout(left, settled).await;
         }
     }
@@ -83,11 +86,19 @@
 
     fn look(&self) -> Admission {
         let mut allowances = self.gate.allowances.lock().unwrap();
-        if now() < self.until {
-            allowances.admit_waiting(now(), self.tenant)
-        } else {
-            allowances.borrow(now(), self.tenant)
+        let admission = allowances.admit_waiting(now(), self.tenant);
+        let waited = now() - self.began;
+        if admission != Admission::Wait || waited < CREDIT_AFTER {
+            return admission;
         }
+        if allowances.borrow(now(), self.tenant) {
+            return Admission::Admitted;
+        }
+        if waited < MAX_WAIT {
+            return Admission::Wait;
+        }
+        allowances.reject(self.tenant);
+        Admission::Rejected
     }
 }
 
@@ -102,12 +113,7 @@
             return to_result(admission).map(|()| OperationAdmission::granted());
         }
         self.wanted.notify_one();
-        let waiting = WaitingOperation {
-            gate: self,
-            tenant,
-            until: now() + SETTLE_WAIT,
-            is_over: AtomicBool::new(false),
-        };
+        let waiting = WaitingOperation { gate: self, tenant, began: now(), is_over: AtomicBool::new(false) };
         Ok(OperationAdmission { waiting: Some(waiting), result: OnceCell::new() })
     }
 
--- a/crates/quota/src/allowance.rs
+++ b/crates/quota/src/allowance.rs
@@ -6,6 +6,11 @@
 
 /// While no tail answers, a node may run at once what it would run at its pace in this time, in milliseconds.
 pub(crate) const BORROWED_AHEAD: f64 = 250.0;
+/// A tenant with such headroom may borrow one operation at each node without any share there. Together these are fewer than
+/// the tolerated excess, and only the first of a flood could need it.
+const CALM_PERCENT: u32 = 150;
+/// A tenant that did not come for so long is forgotten.
+const FORGET_AFTER: Millis = 60_000;
 /// A node holds tokens for the operations of this many settlements.
 const SETTLEMENTS_AHEAD: f64 = 2.0;
 /// Tokens held for one tenant at most.
@@ -45,7 +50,7 @@
             return self.admitted(now);
         }
         if let Some(since) = unsettled_since {
-            return self.borrow(now, since);
+            return if self.borrow(now, since) { Admission::Admitted } else { self.reject() };
         }
         if self.is_exhausted {
             return self.reject();
@@ -60,19 +65,20 @@
 
     /// No tail has answered since `since`: the node goes on at its share of the tenant's rate, which is what it ran of
     /// all that ran before.
-    pub fn borrow(&mut self, now: Millis, since: Millis) -> Admission {
+    pub fn borrow(&mut self, now: Millis, since: Millis) -> bool {
         if self.borrowed == 0 {
             self.rounding = fastrand::f64();
         }
         let share_per_ms = self.admitted_pace.at(since) * f64::from(self.headroom_percent) / 100.0;
         let time = now.saturating_sub(since) as f64 + BORROWED_AHEAD;
-        if (self.borrowed + 1) as f64 > share_per_ms * time + self.rounding {
-            return self.reject();
-        }
-        self.borrowed += 1;
-        self.overdrawn += 1;
-        self.used += 1;
-        Admission::Admitted
+        let is_first_of_calm_tenant = self.borrowed == 0 && self.headroom_percent >= CALM_PERCENT;
+        let is_within_share =
+            is_first_of_calm_tenant || (self.borrowed + 1) as f64 <= share_per_ms * time + self.rounding;
+        let newly_borrowed = u64::from(is_within_share);
+        self.borrowed += newly_borrowed;
+        self.overdrawn += newly_borrowed;
+        self.used += newly_borrowed;
+        is_within_share
     }
 
     pub fn reject(&mut self) -> Admission {
@@ -145,8 +151,9 @@
         self.is_exhausted = false;
     }
 
+    /// Whether it may be forgotten. Its pace is of use for long: most tenants come to a node seldom.
     pub fn is_unused(&self, now: Millis) -> bool {
-        let is_quiet = now.saturating_sub(self.last_asked) > MAX_HOLD;
+        let is_quiet = now.saturating_sub(self.last_asked) > FORGET_AFTER;
         is_quiet && self.tokens == 0 && self.waiting == 0 && self.overdrawn == 0 && self.used == 0
     }
 }
--- a/crates/quota/src/allowances.rs
+++ b/crates/quota/src/allowances.rs
@@ -53,12 +53,17 @@
         self.of(tenant).admit(now, since)
     }
 
-    /// One that waited for too long: it runs on credit, or is rejected.
-    pub fn borrow(&mut self, now: Millis, tenant: &Name) -> Admission {
+    /// One that has waited long, as the tail is slow: whether it may run on credit.
+    pub fn borrow(&mut self, now: Millis, tenant: &Name) -> bool {
         let since = self.unsettled_since.unwrap_or(now);
         self.of(tenant).borrow(now, since)
     }
 
+    /// One that has waited for too long is rejected.
+    pub fn reject(&mut self, tenant: &Name) {
+        self.of(tenant).reject();
+    }
+
     /// An operation waits no more.
     pub fn stop_waiting(&mut self, tenant: &Name) {
         let allowance = self.of(tenant);
--- a/crates/quota/src/pace.rs
+++ b/crates/quota/src/pace.rs
@@ -28,6 +28,6 @@
 }
 
 /// The pace at which a tenant's operations ran: its parts at the nodes, and their sum at the tail, forget alike.
-pub(crate) type AdmittedPace = Pace<8_000>;
+pub(crate) type AdmittedPace = Pace<10_000>;
 /// The pace at which they come to a node, by which it holds tokens.
 pub(crate) type AskedPace = Pace<2_000>;
--- a/crates/quota/tests/fleet/mod.rs
+++ b/crates/quota/tests/fleet/mod.rs
@@ -214,7 +214,13 @@
             }
             self.nodes[index].waiting.pop_front();
             self.nodes[index].allowances.stop_waiting(&tenant);
-            let admission = self.nodes[index].allowances.borrow(self.now, &tenant);
+            let allowances = &mut self.nodes[index].allowances;
+            let admission = if allowances.borrow(self.now, &tenant) {
+                Admission::Admitted
+            } else {
+                allowances.reject(&tenant);
+                Admission::Rejected
+            };
             self.note(&tenant, admission);
         }
     }
