Operators see tenants: quincehatchctl tenants and key-digest, metrics; the client API asks for keys

Cause: nothing told an operator how many keys are in force, what a tenant runs, or what was rejected. Change: call tenants with the tail's accounts by node, key-digest from standard input, metrics keys_in_force and tenant_operations; a bearer token on the client API is a tenant's key, checked and counted like that of a direct session. Long files split.

--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -2,8 +2,12 @@
 use crate::command::Command;
 use crate::flags::{Flags, FlagsOutcome};
 use derive_more::{Display, Error};
+use quincehatch_config::key_digest::{KeyDigest, MAX_KEY_BYTES};
 use std::net::SocketAddr;
 
+/// The command that calls no node.
+const KEY_DIGEST_COMMAND: &str = "key-digest";
+
 /// What the command line asks for.
 pub enum Invocation {
     /// A call to a node.
@@ -67,6 +71,9 @@
         /// Why it cannot be read.
         source: std::io::Error,
     },
+    /// What should be a tenant's key is empty or too long.
+    #[display("a key has 1 to {MAX_KEY_BYTES} bytes")]
+    NotAKey,
     /// No command was given.
     #[display("a command is missing")]
     MissingCommand,
@@ -96,6 +103,9 @@
         FlagsOutcome::Flags(flags) => flags,
         FlagsOutcome::Answered => return Ok(Invocation::Answered),
     };
+    if flags.words == [KEY_DIGEST_COMMAND] {
+        return print_key_digest();
+    }
     let endpoint = Endpoint { address: flags.node.clone(), token: flags.token.clone() };
     let output = if flags.json { OutputFormat::Json } else { OutputFormat::Table };
     let command = Command::from_flags(flags)?;
@@ -104,3 +114,13 @@
     }
     Ok(Invocation::Run(Arguments { endpoint, output, command }))
 }
+
+/// Prints the digest of the key on standard input. A key on the command line would stand in the shell's history.
+fn print_key_digest() -> Result<Invocation, UsageError> {
+    let mut line = String::new();
+    let read = std::io::stdin().read_line(&mut line);
+    read.map_err(|source| UsageError::File { path: "standard input".into(), source })?;
+    let digest = KeyDigest::of(line.trim_end_matches(['\r', '\n']).as_bytes()).ok_or(UsageError::NotAKey)?;
+    println!("{digest}");
+    Ok(Invocation::Answered)
+}
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -9,6 +9,7 @@
 use quincehatch_operator_api::placements::PlacementsRequest;
 use quincehatch_operator_api::servers::ServersRequest;
 use quincehatch_operator_api::status::StatusRequest;
+use quincehatch_operator_api::tenants::TenantsRequest;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 /// One command with its request.
@@ -36,6 +37,8 @@
     Drain(DrainRequest),
     /// `members`
     Members(MembersRequest),
+    /// `tenants`
+    Tenants(TenantsRequest),
 }
 
 impl Command {
@@ -46,6 +49,7 @@
             ["status"] => Command::Status(StatusRequest {}),
             ["nodes"] => Command::Nodes(NodesRequest {}),
             ["servers"] => Command::Servers(ServersRequest {}),
+            ["tenants"] => Command::Tenants(TenantsRequest {}),
             ["placements"] => Command::Placements(PlacementsRequest {}),
             ["history"] => Command::History(HistoryRequest {}),
             ["members"] => Command::Members(MembersRequest { add: flags.add, remove: flags.remove }),
--- a/crates/ctl/src/flags.rs
+++ b/crates/ctl/src/flags.rs
@@ -10,6 +10,8 @@
   nodes                        every node's report on itself
   servers                      database servers as the asked node sees them
   placements                   placements, their servers and routes
+  tenants                      what each tenant runs of what it may, by node
+  key-digest                   reads a tenant's key from standard input and prints its digest for a configuration
   push FILE [--dry-run] [--base N] [--key WORD]
                                push a configuration (TOML or JSON); --dry-run only checks and shows the difference
   history                      configuration versions that are retained
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -53,6 +53,7 @@
         Command::Promote(request) => send(arguments, request),
         Command::Drain(request) => send(arguments, request),
         Command::Members(request) => send(arguments, request),
+        Command::Tenants(request) => send(arguments, request),
     }
 }
 
--- a/crates/ctl/src/tables/mod.rs
+++ b/crates/ctl/src/tables/mod.rs
@@ -8,6 +8,7 @@
 mod placements;
 mod servers;
 mod status;
+mod tenants;
 #[cfg(test)]
 mod tests;
 
--- a/crates/node/src/client_api.rs
+++ b/crates/node/src/client_api.rs
@@ -3,6 +3,7 @@
 use quincehatch_proxy::Proxy;
 use quincehatch_proxy::listener::HttpRequest;
 use quincehatch_proxy::request::error_json;
+use quincehatch_proxy::tenants::ClientKey;
 use serde_json::{Value, json};
 use std::sync::Arc;
 
@@ -13,7 +14,10 @@
 pub async fn answer(proxy: &Arc<Proxy>, request: HttpRequest) -> (u16, Value) {
     match (request.method.as_str(), request.path.as_str()) {
         ("GET", "/ready") => readiness_reply(proxy.readiness()),
-        ("POST", path) => proxy.handle(path, &request.body).await,
+        ("POST", path) => {
+            let key = ClientKey::new(request.token.as_deref().unwrap_or_default().as_bytes());
+            proxy.handle_with_key(path, &request.body, key).await
+        }
         _ => {
             let error = ErrorCode::NoSuchCall.without_detail();
             (error.http_status(), error_json(&error))
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,6 +1,7 @@
 //! The metrics of a node (docs/operate.md has a table of them).
 mod promotions;
 mod servers;
+mod tenants;
 
 use crate::Node;
 use quincehatch_metrics::Metric;
@@ -16,6 +17,7 @@
     metrics.extend(sessions(node, direct));
     metrics.extend(servers::server_metrics(node));
     metrics.extend(promotions::promotion_metrics(node));
+    metrics.extend(tenants::tenant_metrics(node));
     metrics.extend(call_metrics());
     metrics
 }
--- a/crates/node/src/operator/mod.rs
+++ b/crates/node/src/operator/mod.rs
@@ -12,6 +12,7 @@
 mod report_query;
 mod server_report;
 mod status;
+mod tenants;
 
 #[cfg(test)]
 mod tests;
@@ -29,6 +30,7 @@
 use quincehatch_operator_api::placements::PlacementsRequest;
 use quincehatch_operator_api::servers::ServersRequest;
 use quincehatch_operator_api::status::StatusRequest;
+use quincehatch_operator_api::tenants::TenantsRequest;
 use quincehatch_operator_api::{CallName, OperatorCall};
 use quincehatch_proxy::listener::HttpRequest;
 use quincehatch_proxy::request::error_json;
@@ -99,6 +101,7 @@
             let request: DrainRequest = parse_request(body)?;
             to_json::<DrainRequest>(maintenance::drain(node, &request).await?)
         }
+        CallName::Tenants => to_json::<TenantsRequest>(tenants::tenants(node).await?),
         CallName::Members => {
             let request: MembersRequest = parse_request(body)?;
             to_json::<MembersRequest>(members::members(node, &request).await?)
--- a/crates/node/src/store_client/read.rs
+++ b/crates/node/src/store_client/read.rs
@@ -1,6 +1,7 @@
 //! Reads from the tail of the chain alone: what it answers is committed, and nothing older is ever handed out.
 use super::{RETRY_AFTER_MS, RETRY_PAUSE_MS, StoreClient, unexpected_reply};
 use quincehatch_core::{Error, ErrorCode};
+use quincehatch_quota::TenantUsage;
 use quincehatch_runtime::{now, seam};
 use quincehatch_store::{AdoptedDocument, Reply, Request, Store};
 use std::time::Duration;
@@ -25,6 +26,14 @@
         }
     }
 
+    /// What the tail has counted of tenants' operations.
+    pub async fn read_quota(&self, within: Duration) -> Result<Vec<TenantUsage>, Error> {
+        match self.read_from_tail(Request::ReadQuota, within).await? {
+            Reply::Quota { tenants } => Ok(tenants),
+            _ => Err(unexpected_reply()),
+        }
+    }
+
     async fn read_from_tail(&self, request: Request, within: Duration) -> Result<Reply, Error> {
         let deadline = now() + within.as_millis() as u64;
         loop {
--- a/crates/operator-api/src/call.rs
+++ b/crates/operator-api/src/call.rs
@@ -38,11 +38,13 @@
     Drain,
     /// List or change the voting keepers.
     Members,
+    /// What tenants run, as the tail counts it.
+    Tenants,
 }
 
 impl CallName {
     /// All calls.
-    pub const ALL: [CallName; 11] = [
+    pub const ALL: [CallName; 12] = [
         CallName::Status,
         CallName::Nodes,
         CallName::Servers,
@@ -54,6 +56,7 @@
         CallName::Promote,
         CallName::Drain,
         CallName::Members,
+        CallName::Tenants,
     ];
 
     /// The name as it stands in the path.
@@ -70,6 +73,7 @@
             CallName::Promote => "promote",
             CallName::Drain => "drain",
             CallName::Members => "members",
+            CallName::Tenants => "tenants",
         }
     }
 
--- a/crates/operator-api/src/lib.rs
+++ b/crates/operator-api/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod placements;
 pub mod servers;
 pub mod status;
+pub mod tenants;
 
 pub use call::{CallName, OperatorCall};
 pub use error::{ErrorDetail, ErrorReply};
--- a/crates/proxy/src/client_api/request.rs
+++ b/crates/proxy/src/client_api/request.rs
@@ -6,6 +6,7 @@
 use crate::routing::server_entry::ServerEntry;
 use crate::session::sessions::Session;
 use crate::session::state::SessionState;
+use crate::tenants::ClientKey;
 use quincehatch_config::configuration::{Configuration, Route};
 use quincehatch_core::{Error, ErrorCode, Millis, Name};
 use quincehatch_runtime::now;
@@ -80,6 +81,8 @@
     pub operation: Operation,
     /// What the client sent.
     pub body: RequestBody,
+    /// The key that it came with.
+    pub key: ClientKey,
     /// When it came.
     pub started_at: Millis,
     /// When it must be answered.
--- a/crates/proxy/src/direct/session.rs
+++ b/crates/proxy/src/direct/session.rs
@@ -152,12 +152,10 @@
                 let error = transaction_lost("it had failed and is rolled back");
                 StatementResponse::failed(error, TransactionState::Idle)
             }
-            Some(Transaction::Open(open)) => match self.direct.check_tenant(&open.route) {
-                Ok(()) => open.commit(&self.direct, id).await,
-                Err(_) => {
-                    StatementResponse::failed(transaction_lost("its key is revoked"), TransactionState::Idle)
-                }
-            },
+            Some(Transaction::Open(open)) if self.direct.check_tenant(&open.route).is_err() => {
+                StatementResponse::failed(transaction_lost("its key is revoked"), TransactionState::Idle)
+            }
+            Some(Transaction::Open(open)) => open.commit(&self.direct, id).await,
             // Nothing was run in it; the commit goes to a server all the same, as its success is the server's to report.
             Some(Transaction::Deferred(request)) => {
                 match request.begin(&self.direct, self.setup.settings()).await {
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -54,6 +54,10 @@
         name: "route",
         apply: |services, request| Box::pin(async { choose_route(services, request).err().map(Err) }),
     },
+    Filter {
+        name: "tenant",
+        apply: |services, request| Box::pin(async { admit_tenant(services, request).await.err().map(Err) }),
+    },
     Filter {
         name: "placement",
         apply: |_, request| Box::pin(async { choose_group(request).err().map(Err) }),
@@ -154,6 +158,21 @@
     Ok(())
 }
 
+/// Authenticates the client, and admits what counts against its tenant's limit. A step within a session or transaction
+/// has no route of its own and needs some tenant's key, where keys are required.
+async fn admit_tenant(services: &Services, request: &ClientRequest) -> Result<(), Error> {
+    let state = request.cluster_state.clone();
+    let tenant = match &request.route {
+        Some(route) => state.tenants.authenticate(route, request.key)?,
+        None => state.tenants.authenticate_step(request.key)?,
+    };
+    let is_counted = matches!(request.operation, Operation::Order | Operation::Lookup | Operation::Begin);
+    match tenant.filter(|tenant| is_counted && state.tenants.has_limit(tenant)) {
+        Some(tenant) => services.quota.admit(&tenant)?.wait().await,
+        None => Ok(()),
+    }
+}
+
 /// A route that may write names the one group of its placement.
 fn choose_group(request: &mut ClientRequest) -> Result<(), Error> {
     let Some(route) = &request.route else { return Ok(()) };
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -9,7 +9,7 @@
 use crate::session::replicas::SessionReplicas;
 use crate::session::sessions::Sessions;
 use crate::session_filter;
-use crate::tenants::QuotaGate;
+use crate::tenants::{ClientKey, QuotaGate};
 use quincehatch_config::configuration::HealthSettings;
 use quincehatch_config::settings::NodeSettings;
 use quincehatch_core::{Error, ErrorCode, Name, Outcome};
@@ -162,15 +162,20 @@
         session_filter::evict_idle_sessions(&self.services);
     }
 
-    /// Takes one request from the listener to its reply: HTTP status and JSON.
+    /// Takes one request of a client without a key from the listener to its reply: HTTP status and JSON.
     pub async fn handle(&self, path: &str, bytes: &[u8]) -> (u16, Value) {
+        self.handle_with_key(path, bytes, ClientKey::NONE).await
+    }
+
+    /// The same for a client with a key.
+    pub async fn handle_with_key(&self, path: &str, bytes: &[u8], key: ClientKey) -> (u16, Value) {
         let Some(operation) = Operation::from_path(path) else {
             let error = ErrorCode::NoSuchCall.without_detail();
             return (error.http_status(), error_json(&error));
         };
         let parsed = parse_body(bytes);
         let body = parsed.as_ref().map_or_else(|_| RequestBody::default(), Clone::clone);
-        let mut request = self.new_request(operation, body);
+        let mut request = self.new_request(operation, body, key);
         self.requests_in_flight.fetch_add(1, Ordering::SeqCst);
         let result = match parsed {
             Ok(_) => pipeline::run(&self.services, &mut request).await,
@@ -187,7 +192,7 @@
         request.reply(&result)
     }
 
-    fn new_request(&self, operation: Operation, body: RequestBody) -> ClientRequest {
+    fn new_request(&self, operation: Operation, body: RequestBody, key: ClientKey) -> ClientRequest {
         let cluster_state = self.registry.cluster_state();
         let site = ExecutionSite {
             node: self.settings.name.as_str().into(),
@@ -198,6 +203,7 @@
             id: self.next_request_id(),
             operation,
             body,
+            key,
             started_at: now(),
             deadline: now(),
             route: None,
--- a/crates/proxy/src/tenants/admission.rs
+++ b/crates/proxy/src/tenants/admission.rs
@@ -1,6 +1,6 @@
 //! Admission of tenants' operations at this node, and its settlements with the tail.
 use quincehatch_core::{Error, ErrorCode, Millis, Name};
-use quincehatch_quota::{Admission, Allowances, Claim, Grant};
+use quincehatch_quota::{Admission, AdmissionTotals, Allowances, Claim, Grant};
 use quincehatch_runtime::{now, seam};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -144,6 +144,11 @@
         self.settled.notify_waiters();
     }
 
+    /// What became of operations that were settled, or were to be.
+    pub fn totals(&self) -> AdmissionTotals {
+        self.allowances.lock().unwrap().totals()
+    }
+
     /// Whether an operation waits for a settlement.
     pub fn has_waiting(&self) -> bool {
         self.allowances.lock().unwrap().has_waiting()
--- a/crates/quota/src/allowances.rs
+++ b/crates/quota/src/allowances.rs
@@ -19,9 +19,21 @@
     Rejected,
 }
 
+/// Operations since the process began, by what became of them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AdmissionTotals {
+    /// Run with a token.
+    pub admitted: u64,
+    /// Run on credit, as no tail answered.
+    pub borrowed: u64,
+    /// Rejected.
+    pub rejected: u64,
+}
+
 /// A node's allowances.
 #[derive(Clone, Debug, Default)]
 pub struct Allowances {
+    totals: AdmissionTotals,
     by_tenant: BTreeMap<Name, Allowance>,
     /// Since when no settlement was answered, if the last was not.
     unsettled_since: Option<Millis>,
@@ -75,6 +87,11 @@
         self.by_tenant.get_mut(tenant).is_some_and(|allowance| allowance.take_spare(now))
     }
 
+    /// What became of all operations.
+    pub fn totals(&self) -> AdmissionTotals {
+        self.totals
+    }
+
     /// The claims of a settlement, which is to end with [`Allowances::settled`] or [`Allowances::not_settled`]; empty if
     /// there is nothing to settle.
     pub fn begin_settlement(&mut self, now: Millis, interval: Millis) -> Vec<Claim> {
@@ -83,6 +100,11 @@
         for (tenant, allowance) in &mut self.by_tenant {
             claims.extend(allowance.claim(now, tenant, interval));
         }
+        for claim in &claims {
+            self.totals.admitted += u64::from(claim.used - claim.overdrawn);
+            self.totals.borrowed += u64::from(claim.overdrawn);
+            self.totals.rejected += u64::from(claim.rejected);
+        }
         self.under_way = claims.clone();
         claims
     }
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -21,7 +21,7 @@
 mod pace;
 mod token_bucket;
 
-pub use allowances::{Admission, Allowances};
+pub use allowances::{Admission, AdmissionTotals, Allowances};
 pub use ledger::Ledger;
 pub use limit::{Limit, Tolerance};
 pub use messages::{Claim, Grant, NodeUsage, TenantUsage};
--- a/crates/quota/tests/fleet/mod.rs
+++ b/crates/quota/tests/fleet/mod.rs
@@ -1,9 +1,15 @@
 //! A fleet of nodes and the keeper that settles with them, in steps of virtual time: requests and replies get lost, nodes
 //! are cut off, killed and back, the keeper goes and another takes over, a tenant floods.
 use quincehatch_core::{Millis, Name};
-use quincehatch_quota::{Admission, Allowances, Claim, Grant, Ledger, Limit, Tolerance};
+use quincehatch_quota::{Admission, Claim, Grant, Ledger, Limit, Tolerance};
 use std::collections::{BTreeMap, VecDeque};
 
+mod node;
+mod window;
+
+use node::FleetNode;
+pub use window::worst_excess;
+
 pub const STEP: Millis = 5;
 /// Time between two settlements of a node.
 const INTERVAL: Millis = 200;
@@ -43,34 +49,6 @@
     Grants { node: usize, settlement: u64, grants: Vec<Grant> },
 }
 
-pub struct FleetNode {
-    name: Name,
-    allowances: Allowances,
-    /// Operations that wait, by tenant, with the time when they give up.
-    waiting: VecDeque<(Name, Millis)>,
-    /// The settlement under way: its number, and when it is given up.
-    under_way: Option<(u64, Millis)>,
-    next_settlement_at: Millis,
-    answered_at: Millis,
-    pub is_cut: bool,
-    pub down_until: Millis,
-}
-
-impl FleetNode {
-    fn new(index: usize, now: Millis) -> FleetNode {
-        FleetNode {
-            name: format!("node-{index}").into(),
-            allowances: Allowances::default(),
-            waiting: VecDeque::new(),
-            under_way: None,
-            next_settlement_at: now + fastrand::u64(0..INTERVAL),
-            answered_at: now,
-            is_cut: false,
-            down_until: 0,
-        }
-    }
-}
-
 pub struct Fleet {
     pub now: Millis,
     pub nodes: Vec<FleetNode>,
@@ -214,13 +192,7 @@
             }
             self.nodes[index].waiting.pop_front();
             self.nodes[index].allowances.stop_waiting(&tenant);
-            let allowances = &mut self.nodes[index].allowances;
-            let admission = if allowances.borrow(self.now, &tenant) {
-                Admission::Admitted
-            } else {
-                allowances.reject(&tenant);
-                Admission::Rejected
-            };
+            let admission = self.nodes[index].end_of_wait(self.now, &tenant);
             self.note(&tenant, admission);
         }
     }
@@ -273,19 +245,3 @@
         }
     }
 }
-
-/// The most operations that ran within any window beyond what the tolerance allows; 0 if none did.
-pub fn worst_excess(ran: &[Millis], limit: Limit) -> u64 {
-    let tolerance = Tolerance::default();
-    let allowed = limit.in_window(tolerance.window);
-    let tolerated = allowed + allowed * tolerance.excess_percent / 100 + tolerance.slack;
-    let mut first = 0;
-    let mut worst = 0;
-    for (last, at) in ran.iter().enumerate() {
-        while ran[first] + tolerance.window <= *at {
-            first += 1;
-        }
-        worst = worst.max(((last - first + 1) as u64).saturating_sub(tolerated));
-    }
-    worst
-}
--- a/crates/store/src/dismissed_leases.rs
+++ b/crates/store/src/dismissed_leases.rs
@@ -1,5 +1,6 @@
 //! Leases that dismissed nodes may still hold.
 use crate::messages::DismissedLease;
+use crate::store::Store;
 use crate::timing::{NODE_LEASE, with_clock_drift};
 use quincehatch_core::{Millis, Name};
 use std::collections::BTreeMap;
@@ -15,6 +16,12 @@
 }
 
 impl DismissedLeases {
+    /// What a keeper knows that starts from a store. An empty one has never enrolled a node.
+    pub fn of_recovered(store: &Store, now: Millis) -> Self {
+        let unknown_until = if store.last_change == 0 { now } else { now + with_clock_drift(NODE_LEASE) };
+        Self::new(unknown_until)
+    }
+
     /// No node is known to be dismissed; until `unknown_until` there may be some.
     pub fn new(unknown_until: Millis) -> Self {
         Self { until: BTreeMap::new(), unknown_until }
--- a/crates/store/src/keeper.rs
+++ b/crates/store/src/keeper.rs
@@ -28,17 +28,17 @@
 use crate::register::{Acceptor, Proposer};
 use crate::snapshot::{IncomingSnapshot, OutgoingSnapshot};
 use crate::store::Store;
-use crate::timing::{NODE_LEASE, VIEW_LEASE, with_clock_drift};
+use crate::timing::{VIEW_LEASE, with_clock_drift};
 use crate::view::View;
 use feed_updates::PackedConfiguration;
 use membership::{Discovery, Leaving};
 use quincehatch_core::{ChangeNumber, Millis, Name, Version, hash64};
-use quincehatch_quota::{Ledger, Tolerance};
+use quincehatch_quota::Tolerance;
 use quincehatch_runtime::seam;
 use recent_changes::RecentChanges;
-use requests::{CommitTimes, PendingWrite, Polls};
+use requests::{CommitTimes, PendingWrite, Polls, Quota};
 use std::collections::BTreeMap;
-use view_lease::ViewLease;
+use view_lease::{ViewLease, first_heartbeat};
 
 pub use event::{Input, Output};
 pub use membership::DiscoverySettings;
@@ -115,8 +115,7 @@
     previous_node_leases: Option<NodeLeases>,
     dismissed_leases: DismissedLeases,
     /// What tenants ran, as the tail of the present view.
-    quota_ledger: Option<Ledger>,
-    quota_tolerance: Tolerance,
+    quota: Quota,
 
     // Membership.
     discovery: Option<Discovery>,
@@ -137,9 +136,6 @@
         let has_served = view.tail() == Some(&name) && recovered.served_version == view.version;
         let is_complete_head = view.head() == Some(&name) && !recovered.catching_up;
         let older_tail_until = if has_served { now } else { now + with_clock_drift(VIEW_LEASE) };
-        // An empty chain has never enrolled a node.
-        let is_empty = recovered.store.last_change == 0;
-        let unknown_leases_until = if is_empty { now } else { now + with_clock_drift(NODE_LEASE) };
         Self {
             now,
             outputs: Vec::new(),
@@ -174,9 +170,8 @@
             served_version: recovered.served_version,
             node_leases: None,
             previous_node_leases: None,
-            dismissed_leases: DismissedLeases::new(unknown_leases_until),
-            quota_ledger: None,
-            quota_tolerance: Tolerance::default(),
+            dismissed_leases: DismissedLeases::of_recovered(&recovered.store, now),
+            quota: Quota::default(),
             discovery: None,
             invitation: None,
             leaving: None,
@@ -200,7 +195,7 @@
 
     /// Sets by how much tenants may exceed their limits.
     pub fn with_quota_tolerance(mut self, tolerance: Tolerance) -> Self {
-        self.quota_tolerance = tolerance;
+        self.quota.tolerance = tolerance;
         self
     }
 
@@ -249,9 +244,3 @@
         self.view.successor(&self.name)
     }
 }
-
-/// The number before the first heartbeat of this process. No grant to an earlier process may answer a heartbeat of this
-/// one, even if the wall clock was set back in between; half of the range is left to count in.
-fn first_heartbeat() -> u64 {
-    seam::draw_incarnation() >> 1
-}
--- a/crates/store/src/keeper/requests.rs
+++ b/crates/store/src/keeper/requests.rs
@@ -15,6 +15,7 @@
 
 pub(super) use commit_times::CommitTimes;
 pub(super) use polls::Polls;
+pub(super) use quota::Quota;
 pub(super) use writes::PendingWrite;
 
 impl Keeper {
--- a/crates/store/src/keeper/requests/quota.rs
+++ b/crates/store/src/keeper/requests/quota.rs
@@ -6,7 +6,16 @@
 use crate::messages::Reply;
 use quincehatch_config::configuration::limits_in_stored;
 use quincehatch_core::{ChangeNumber, Name};
-use quincehatch_quota::{Claim, Ledger, TenantUsage};
+use quincehatch_quota::{Claim, Ledger, TenantUsage, Tolerance};
+
+/// What the tail counts of tenants' operations.
+#[derive(Clone, Debug, Default)]
+pub(in crate::keeper) struct Quota {
+    /// The accounts, as the tail of the present view.
+    pub ledger: Option<Ledger>,
+    /// By how much tenants may exceed their limits.
+    pub tolerance: Tolerance,
+}
 
 impl Keeper {
     /// Settles with a node. Only an enrolled process is granted anything: tokens are spent under a node's lease.
@@ -33,8 +42,8 @@
 
     /// The ledger of this tail, with the limits of the configuration in force.
     fn quota_ledger(&mut self) -> &mut Ledger {
-        let (now, nodes, tolerance) = (self.now, self.store.nodes.len(), self.quota_tolerance);
-        let ledger = self.quota_ledger.get_or_insert_with(|| Ledger::new(now, nodes, tolerance));
+        let (now, nodes, tolerance) = (self.now, self.store.nodes.len(), self.quota.tolerance);
+        let ledger = self.quota.ledger.get_or_insert_with(|| Ledger::new(now, nodes, tolerance));
         let version = self.store.configuration_version();
         if ledger.version() != version {
             ledger.set_limits(now, version, &limits_in_stored(self.store.configuration_json()));
--- a/crates/store/src/keeper/view_adoption.rs
+++ b/crates/store/src/keeper/view_adoption.rs
@@ -31,7 +31,7 @@
         self.move_node_leases(was_tail, is_next);
         // Another tail may have granted since, unless this keeper was the tail of the view just before.
         if !(was_tail && is_next && self.is_tail()) {
-            self.quota_ledger = None;
+            self.quota.ledger = None;
         }
         if !self.is_member() {
             self.hand_over_leases();
--- a/crates/store/src/keeper/view_lease.rs
+++ b/crates/store/src/keeper/view_lease.rs
@@ -5,6 +5,7 @@
 use crate::timing::{VIEW_LEASE, minus_clock_drift};
 use crate::view::View;
 use quincehatch_core::{Millis, Name};
+use quincehatch_runtime::seam;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The heartbeats of one keeper, and the lease that they have earned.
@@ -71,3 +72,9 @@
         self.until = 0;
     }
 }
+
+/// The number before the first heartbeat of this process. No grant to an earlier process may answer a heartbeat of this
+/// one, even if the wall clock was set back in between; half of the range is left to count in.
+pub(super) fn first_heartbeat() -> u64 {
+    seam::draw_incarnation() >> 1
+}
