A calm tenant's operation runs on credit at once; settlements at half the pace

Change: a tenant well below its limit, whose account is half full, may run one operation at a node without a token between two settlements; a node settles at half the pace of its polls.

--- a/crates/node/src/settlement.rs
+++ b/crates/node/src/settlement.rs
@@ -11,6 +11,8 @@
 
 /// A settlement that was not answered by then is given up, in milliseconds.
 const SETTLE_TIMEOUT_MS: u64 = 250;
+/// Settlements are rarer than polls of the feed: each costs bytes between zones.
+const POLLS_PER_SETTLEMENT: u64 = 2;
 /// The least time between two settlements, from send to send, however many operations wait.
 const MIN_INTERVAL_MS: u64 = 10;
 
@@ -31,7 +33,7 @@
 }
 
 fn interval(node: &Node) -> Millis {
-    feed_poll_wait(node.feed_state.lock().unwrap().nodes.len())
+    POLLS_PER_SETTLEMENT * feed_poll_wait(node.feed_state.lock().unwrap().nodes.len())
 }
 
 async fn settle(node: &Node, interval: Millis) {
--- a/crates/proxy/src/tenants/admission.rs
+++ b/crates/proxy/src/tenants/admission.rs
@@ -137,7 +137,7 @@
     pub fn end_settlement(&self, grants: Option<&[Grant]>) {
         let mut allowances = self.allowances.lock().unwrap();
         match grants {
-            Some(grants) => allowances.settled(grants),
+            Some(grants) => allowances.settled(now(), grants),
             None => allowances.not_settled(now()),
         }
         drop(allowances);
--- a/crates/quota/src/account.rs
+++ b/crates/quota/src/account.rs
@@ -96,6 +96,8 @@
         let age = now.saturating_sub(self.opened_at) as f64;
         let pace = self.pace.at(now) + rate_per_ms * AdmittedPace::part_remembered(age);
         let headroom = 100.0 * rate_per_ms / pace;
+        // What nodes run on credit is charged afterwards: there must be something to charge it to.
+        let headroom = if self.bucket.is_half_full() { headroom } else { headroom.min(100.0) };
         headroom.min(MAX_HEADROOM_PERCENT) as u32
     }
 
--- a/crates/quota/src/allowance.rs
+++ b/crates/quota/src/allowance.rs
@@ -9,6 +9,8 @@
 /// A tenant with such headroom may borrow one operation at each node without any share there. Together these are fewer than
 /// the tolerated excess, and only the first of a flood could need it.
 const CALM_PERCENT: u32 = 150;
+/// How long a tenant counts as calm after a settlement.
+const CALM_TERM: Millis = 5_000;
 /// A tenant that did not come for so long is forgotten.
 const FORGET_AFTER: Millis = 60_000;
 /// A node holds tokens for the operations of this many settlements.
@@ -34,6 +36,7 @@
     last_asked: Millis,
     /// By which its pace may be multiplied while it borrows, in percent, as the last settlement said.
     headroom_percent: u32,
+    settled_at: Millis,
     /// Run without a token since the last settlement that was answered.
     borrowed: u64,
     /// The part of an operation that it may borrow beyond whole ones, drawn anew for each time without an answer: nodes
@@ -55,6 +58,11 @@
         if self.is_exhausted {
             return self.reject();
         }
+        if self.borrowed == 0 && self.is_calm(now) {
+            self.admitted_pace.note(now, 1.0);
+            self.run_on_credit();
+            return Admission::Admitted;
+        }
         Admission::Wait
     }
 
@@ -71,16 +79,26 @@
         }
         let share_per_ms = self.admitted_pace.at(since) * f64::from(self.headroom_percent) / 100.0;
         let time = now.saturating_sub(since) as f64 + BORROWED_AHEAD;
-        let is_first_of_calm_tenant = self.borrowed == 0 && self.headroom_percent >= CALM_PERCENT;
-        let is_within_share =
-            is_first_of_calm_tenant || (self.borrowed + 1) as f64 <= share_per_ms * time + self.rounding;
-        let newly_borrowed = u64::from(is_within_share);
-        self.borrowed += newly_borrowed;
-        self.overdrawn += newly_borrowed;
-        self.used += newly_borrowed;
+        let is_within_share = (self.borrowed == 0 && self.headroom_percent >= CALM_PERCENT)
+            || (self.borrowed + 1) as f64 <= share_per_ms * time + self.rounding;
+        if is_within_share {
+            self.run_on_credit();
+        }
         is_within_share
     }
 
+    /// Whether the tenant was well below its limit a moment ago. Then its first operation without a token need not wait:
+    /// it is run on credit and settled afterwards.
+    fn is_calm(&self, now: Millis) -> bool {
+        self.headroom_percent >= CALM_PERCENT && now < self.settled_at + CALM_TERM
+    }
+
+    fn run_on_credit(&mut self) {
+        self.borrowed += 1;
+        self.overdrawn += 1;
+        self.used += 1;
+    }
+
     pub fn reject(&mut self) -> Admission {
         self.rejected += 1;
         Admission::Rejected
@@ -135,7 +153,8 @@
     }
 
     /// The tail has answered the claim.
-    pub fn settled(&mut self, grant: &Grant) {
+    pub fn settled(&mut self, now: Millis, grant: &Grant) {
+        self.settled_at = now;
         self.tokens += u64::from(grant.tokens);
         self.is_exhausted = grant.is_exhausted;
         self.headroom_percent = grant.headroom_percent;
--- a/crates/quota/src/allowances.rs
+++ b/crates/quota/src/allowances.rs
@@ -110,11 +110,11 @@
     }
 
     /// The tail has answered.
-    pub fn settled(&mut self, grants: &[Grant]) {
+    pub fn settled(&mut self, now: Millis, grants: &[Grant]) {
         self.unsettled_since = None;
         self.under_way.clear();
         for grant in grants {
-            self.of(&grant.tenant).settled(grant);
+            self.of(&grant.tenant).settled(now, grant);
         }
     }
 
--- a/crates/quota/src/token_bucket.rs
+++ b/crates/quota/src/token_bucket.rs
@@ -48,6 +48,11 @@
         (self.level / MILLI).max(0) as u64
     }
 
+    /// Whether at least a half is there of what it can hold.
+    pub fn is_half_full(&self) -> bool {
+        self.level * 2 >= self.capacity()
+    }
+
     /// Takes so many, whether they are there or not.
     pub fn charge(&mut self, tokens: u64) {
         self.level = self.level.saturating_sub(tokens as i64 * MILLI);
