Nodes know which tenants are pressed; settlements in between carry only what waits

Change: each answer names the tenants whose account is less than half full; all others run their first operation without a token on credit, and hold no token in reserve. A settlement in between is for tenants that wait. A tenant at its limit is asked for again when there is a token, 150 ms later at least. What ran while there was no tail is not charged to the new one, whose accounts were not filled meanwhile.

--- a/crates/node/src/settlement.rs
+++ b/crates/node/src/settlement.rs
@@ -1,7 +1,7 @@
 //! Settles the operations of tenants with the tail of the chain.
 use crate::node::Node;
 use quincehatch_core::Millis;
-use quincehatch_quota::{Claim, Grant};
+use quincehatch_quota::{Claim, Settlement};
 use quincehatch_runtime::{now, seam};
 use quincehatch_store::timing::feed_poll_wait;
 use quincehatch_store::{Reply, Request};
@@ -41,12 +41,12 @@
     if claims.is_empty() {
         return;
     }
-    let grants = ask_tail(node, claims).await;
-    node.proxy.quota.end_settlement(grants.as_deref());
+    let settlement = ask_tail(node, claims).await;
+    node.proxy.quota.end_settlement(settlement.as_ref());
 }
 
 /// What the tail grants; `None` if it did not answer.
-async fn ask_tail(node: &Node, claims: Vec<Claim>) -> Option<Vec<Grant>> {
+async fn ask_tail(node: &Node, claims: Vec<Claim>) -> Option<Settlement> {
     let request = Request::SettleQuota {
         node: node.proxy.settings.name.as_str().into(),
         enrolled: node.enrollment.load(Ordering::SeqCst),
@@ -54,7 +54,7 @@
     };
     let tail = node.store_client.tail_address();
     match node.store_client.call(&tail, request, Duration::from_millis(SETTLE_TIMEOUT_MS)).await {
-        Ok(Reply::QuotaGranted { grants }) => Some(grants),
+        Ok(Reply::QuotaGranted { settlement }) => Some(settlement),
         Ok(Reply::Redirect { view }) => {
             node.store_client.learn_view(view);
             None
--- a/crates/proxy/src/tenants/admission.rs
+++ b/crates/proxy/src/tenants/admission.rs
@@ -1,6 +1,6 @@
 //! Admission of tenants' operations at this node, and its settlements with the tail.
 use quincehatch_core::{Error, ErrorCode, Millis, Name};
-use quincehatch_quota::{Admission, AdmissionTotals, Allowances, Claim, Grant};
+use quincehatch_quota::{Admission, AdmissionTotals, Allowances, Claim, Settlement};
 use quincehatch_runtime::{now, seam};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -134,10 +134,10 @@
     }
 
     /// The settlement has ended; `None` if no tail has answered.
-    pub fn end_settlement(&self, grants: Option<&[Grant]>) {
+    pub fn end_settlement(&self, settlement: Option<&Settlement>) {
         let mut allowances = self.allowances.lock().unwrap();
-        match grants {
-            Some(grants) => allowances.settled(now(), grants),
+        match settlement {
+            Some(settlement) => allowances.settled(now(), settlement),
             None => allowances.not_settled(now()),
         }
         drop(allowances);
--- a/crates/quota/src/account.rs
+++ b/crates/quota/src/account.rs
@@ -1,5 +1,6 @@
 //! One tenant's account at the tail.
 use crate::allowance::BORROWED_AHEAD;
+use crate::ledger::GONE_AFTER;
 use crate::limit::{Limit, Tolerance};
 use crate::messages::{Claim, Grant, NodeUsage, TenantUsage};
 use crate::pace::AdmittedPace;
@@ -59,7 +60,11 @@
     pub fn settle(&mut self, now: Millis, node: &Name, claim: &Claim, tolerance: Tolerance) -> Grant {
         self.bucket.fill(now);
         self.bucket.give_back(claim.returned.into());
-        self.bucket.charge(claim.overdrawn.into());
+        // What nodes ran while there was no tail was the rate, which this account was not filled with meanwhile.
+        let is_from_before = !self.nodes.contains_key(node) && now < self.opened_at + GONE_AFTER;
+        if !is_from_before {
+            self.bucket.charge(claim.overdrawn.into());
+        }
         self.pace.note(now, claim.used.into());
         let mine = self.nodes.entry(node.clone()).or_default();
         mine.used += u64::from(claim.used);
@@ -84,7 +89,7 @@
         Grant {
             tenant: claim.tenant.clone(),
             tokens: tokens as u32,
-            is_exhausted: needed < u64::from(claim.needed),
+            exhausted_ms: if needed < u64::from(claim.needed) { self.bucket.next_token_ms() } else { 0 },
             headroom_percent: self.headroom_percent(now),
         }
     }
@@ -96,11 +101,16 @@
         let age = now.saturating_sub(self.opened_at) as f64;
         let pace = self.pace.at(now) + rate_per_ms * AdmittedPace::part_remembered(age);
         let headroom = 100.0 * rate_per_ms / pace;
-        // What nodes run on credit is charged afterwards: there must be something to charge it to.
-        let headroom = if self.bucket.is_half_full() { headroom } else { headroom.min(100.0) };
         headroom.min(MAX_HEADROOM_PERCENT) as u32
     }
 
+    /// Whether less than a half is there of what the account can hold. What nodes run on credit is charged afterwards, so
+    /// there must be something to charge it to.
+    pub fn is_pressed(&mut self, now: Millis) -> bool {
+        self.bucket.fill(now);
+        !self.bucket.is_half_full()
+    }
+
     /// Charges what nodes may be borrowing of which nothing was heard since `heard_at`: their share of the rate.
     ///
     /// They may hold a lease, and then go on at that share while the others are granted the rest.
--- a/crates/quota/src/allowance.rs
+++ b/crates/quota/src/allowance.rs
@@ -6,11 +6,8 @@
 
 /// While no tail answers, a node may run at once what it would run at its pace in this time, in milliseconds.
 pub(crate) const BORROWED_AHEAD: f64 = 250.0;
-/// A tenant with such headroom may borrow one operation at each node without any share there. Together these are fewer than
-/// the tolerated excess, and only the first of a flood could need it.
-const CALM_PERCENT: u32 = 150;
-/// How long a tenant counts as calm after a settlement.
-const CALM_TERM: Millis = 5_000;
+/// A node asks no sooner again for a tenant that is at its limit: many nodes wait for the same tokens.
+const MIN_EXHAUSTED: Millis = 150;
 /// A tenant that did not come for so long is forgotten.
 const FORGET_AFTER: Millis = 60_000;
 /// A node holds tokens for the operations of this many settlements.
@@ -24,8 +21,8 @@
     tokens: u64,
     /// Operations that wait for a token.
     pub waiting: u64,
-    /// The last settlement brought less than was needed.
-    is_exhausted: bool,
+    /// The last settlement brought less than was needed, and there is nothing before this time.
+    exhausted_until: Millis,
     /// What the next settlement reports.
     used: u64,
     overdrawn: u64,
@@ -36,7 +33,6 @@
     last_asked: Millis,
     /// By which its pace may be multiplied while it borrows, in percent, as the last settlement said.
     headroom_percent: u32,
-    settled_at: Millis,
     /// Run without a token since the last settlement that was answered.
     borrowed: u64,
     /// The part of an operation that it may borrow beyond whole ones, drawn anew for each time without an answer: nodes
@@ -45,20 +41,21 @@
 }
 
 impl Allowance {
-    /// An operation comes.
-    pub fn admit(&mut self, now: Millis, unsettled_since: Option<Millis>) -> Admission {
+    /// An operation comes. The first one of a calm tenant that finds no token need not wait: it runs on credit, and is
+    /// settled afterwards.
+    pub fn admit(&mut self, now: Millis, unsettled_since: Option<Millis>, is_calm: bool) -> Admission {
         self.last_asked = now;
         if self.tokens > 0 {
             self.tokens -= 1;
             return self.admitted(now);
         }
         if let Some(since) = unsettled_since {
-            return if self.borrow(now, since) { Admission::Admitted } else { self.reject() };
+            return if self.borrow(now, since, is_calm) { Admission::Admitted } else { self.reject() };
         }
-        if self.is_exhausted {
+        if now < self.exhausted_until {
             return self.reject();
         }
-        if self.borrowed == 0 && self.is_calm(now) {
+        if self.borrowed == 0 && is_calm {
             self.admitted_pace.note(now, 1.0);
             self.run_on_credit();
             return Admission::Admitted;
@@ -73,13 +70,13 @@
 
     /// No tail has answered since `since`: the node goes on at its share of the tenant's rate, which is what it ran of
     /// all that ran before.
-    pub fn borrow(&mut self, now: Millis, since: Millis) -> bool {
+    pub fn borrow(&mut self, now: Millis, since: Millis, was_calm: bool) -> bool {
         if self.borrowed == 0 {
             self.rounding = fastrand::f64();
         }
         let share_per_ms = self.admitted_pace.at(since) * f64::from(self.headroom_percent) / 100.0;
         let time = now.saturating_sub(since) as f64 + BORROWED_AHEAD;
-        let is_within_share = (self.borrowed == 0 && self.headroom_percent >= CALM_PERCENT)
+        let is_within_share = (self.borrowed == 0 && was_calm)
             || (self.borrowed + 1) as f64 <= share_per_ms * time + self.rounding;
         if is_within_share {
             self.run_on_credit();
@@ -87,12 +84,6 @@
         is_within_share
     }
 
-    /// Whether the tenant was well below its limit a moment ago. Then its first operation without a token need not wait:
-    /// it is run on credit and settled afterwards.
-    fn is_calm(&self, now: Millis) -> bool {
-        self.headroom_percent >= CALM_PERCENT && now < self.settled_at + CALM_TERM
-    }
-
     fn run_on_credit(&mut self) {
         self.borrowed += 1;
         self.overdrawn += 1;
@@ -121,13 +112,13 @@
     }
 
     /// The claim of the next settlement; `None` if there is nothing to say. `interval`: time between settlements.
-    pub fn claim(&mut self, now: Millis, tenant: &Name, interval: Millis) -> Option<Claim> {
+    pub fn claim(&mut self, now: Millis, tenant: &Name, interval: Millis, is_calm: bool) -> Option<Claim> {
         let is_idle = now.saturating_sub(self.last_asked) > MAX_HOLD;
-        let target = if is_idle { 0 } else { self.target(now, interval) };
+        let target = if is_idle { 0 } else { self.target(now, interval, is_calm) };
         let returned = self.tokens.saturating_sub(target);
         // Tokens above the target are kept until there are twice as many, so that none goes to and fro.
         let returned = if is_idle || returned > target { returned } else { 0 };
-        let needed = self.waiting + if self.is_exhausted { self.rejected } else { 0 };
+        let needed = self.waiting + if self.exhausted_until > 0 { self.rejected } else { 0 };
         let reserve = target.saturating_sub(self.tokens);
         let wants = needed > 0 || (reserve > 0 && reserve * 2 >= target);
         if !(wants || returned > 0 || self.used > 0 || self.rejected > 0) {
@@ -146,17 +137,20 @@
         })
     }
 
-    /// Tokens to hold: for the operations that come until the settlement after the next, and one more.
-    fn target(&self, now: Millis, interval: Millis) -> u64 {
+    /// Tokens to hold: for the operations that come until the settlement after the next, and one more unless that would
+    /// run on credit.
+    fn target(&self, now: Millis, interval: Millis, is_calm: bool) -> u64 {
         let expected = self.asked_pace.at(now) * interval as f64 * SETTLEMENTS_AHEAD;
-        expected.min(MAX_RESERVE) as u64 + 1
+        expected.min(MAX_RESERVE) as u64 + u64::from(!is_calm)
     }
 
     /// The tail has answered the claim.
     pub fn settled(&mut self, now: Millis, grant: &Grant) {
-        self.settled_at = now;
         self.tokens += u64::from(grant.tokens);
-        self.is_exhausted = grant.is_exhausted;
+        self.exhausted_until = match grant.exhausted_ms {
+            0 => 0,
+            ms => now + Millis::from(ms).max(MIN_EXHAUSTED),
+        };
         self.headroom_percent = grant.headroom_percent;
         self.borrowed = 0;
     }
@@ -167,7 +161,7 @@
         self.overdrawn += u64::from(claim.overdrawn);
         self.used += u64::from(claim.used);
         self.rejected += u64::from(claim.rejected);
-        self.is_exhausted = false;
+        self.exhausted_until = 0;
     }
 
     /// Whether it may be forgotten. Its pace is of use for long: most tenants come to a node seldom.
--- a/crates/quota/src/allowances.rs
+++ b/crates/quota/src/allowances.rs
@@ -1,13 +1,16 @@
 //! What one node may run for all its tenants.
 use crate::allowance::Allowance;
-use crate::messages::{Claim, Grant};
+use crate::messages::{Claim, Settlement};
 use quincehatch_core::{Millis, Name};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Tokens of a tenant that nobody asked for during this time are given back. It is less than a node's lease, so a tail
 /// that hears nothing of a node for longer may forget what it held.
 pub const MAX_HOLD: Millis = 3_000;
 
+/// How long a settlement tells which tenants are calm.
+const CALM_TERM: Millis = 1_500;
+
 /// What becomes of an operation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
@@ -39,6 +42,12 @@
     unsettled_since: Option<Millis>,
     /// What the settlement under way claims.
     under_way: Vec<Claim>,
+    /// When the next settlement for all tenants is due.
+    due_at: Millis,
+    /// When the last settlement was answered.
+    settled_at: Option<Millis>,
+    /// Tenants that may run nothing on credit, by that answer.
+    pressed: BTreeSet<Name>,
 }
 
 impl Allowances {
@@ -51,24 +60,32 @@
 
     /// A new operation of a tenant. One that is to wait counts as waiting until [`Allowances::stop_waiting`].
     pub fn admit(&mut self, now: Millis, tenant: &Name) -> Admission {
-        let since = self.unsettled_since;
+        let (since, is_calm) = (self.unsettled_since, self.is_calm(now, tenant));
         let allowance = self.of(tenant);
         allowance.note_asked(now);
-        let admission = allowance.admit(now, since);
+        let admission = allowance.admit(now, since, is_calm);
         allowance.waiting += u64::from(admission == Admission::Wait);
         admission
     }
 
+    /// Whether the tenant was not pressed when the last settlement was answered, lately or before no tail answered.
+    fn is_calm(&self, now: Millis, tenant: &Name) -> bool {
+        let is_known =
+            self.settled_at.is_some_and(|at| now < at + CALM_TERM || self.unsettled_since.is_some());
+        is_known && !self.pressed.contains(tenant)
+    }
+
     /// The same for one that waits, after a settlement.
     pub fn admit_waiting(&mut self, now: Millis, tenant: &Name) -> Admission {
-        let since = self.unsettled_since;
-        self.of(tenant).admit(now, since)
+        let (since, is_calm) = (self.unsettled_since, self.is_calm(now, tenant));
+        self.of(tenant).admit(now, since, is_calm)
     }
 
     /// One that has waited long, as the tail is slow: whether it may run on credit.
     pub fn borrow(&mut self, now: Millis, tenant: &Name) -> bool {
         let since = self.unsettled_since.unwrap_or(now);
-        self.of(tenant).borrow(now, since)
+        let was_calm = self.is_calm(now, tenant);
+        self.of(tenant).borrow(now, since, was_calm)
     }
 
     /// One that has waited for too long is rejected.
@@ -93,12 +110,20 @@
     }
 
     /// The claims of a settlement, which is to end with [`Allowances::settled`] or [`Allowances::not_settled`]; empty if
-    /// there is nothing to settle.
+    /// there is nothing to settle. `interval`: time between settlements; one in between is for tenants whose operations
+    /// wait, and leaves the others to the next.
     pub fn begin_settlement(&mut self, now: Millis, interval: Millis) -> Vec<Claim> {
-        self.by_tenant.retain(|_, allowance| !allowance.is_unused(now));
+        let is_due = now >= self.due_at;
+        if is_due {
+            self.due_at = now + interval;
+            self.by_tenant.retain(|_, allowance| !allowance.is_unused(now));
+        }
         let mut claims = Vec::new();
         for (tenant, allowance) in &mut self.by_tenant {
-            claims.extend(allowance.claim(now, tenant, interval));
+            if is_due || allowance.waiting > 0 {
+                let is_calm = !self.pressed.contains(tenant);
+                claims.extend(allowance.claim(now, tenant, interval, is_calm));
+            }
         }
         for claim in &claims {
             self.totals.admitted += u64::from(claim.used - claim.overdrawn);
@@ -110,10 +135,12 @@
     }
 
     /// The tail has answered.
-    pub fn settled(&mut self, now: Millis, grants: &[Grant]) {
+    pub fn settled(&mut self, now: Millis, settlement: &Settlement) {
         self.unsettled_since = None;
         self.under_way.clear();
-        for grant in grants {
+        self.settled_at = Some(now);
+        self.pressed = settlement.pressed.iter().cloned().collect();
+        for grant in &settlement.grants {
             self.of(&grant.tenant).settled(now, grant);
         }
     }
--- a/crates/quota/src/ledger.rs
+++ b/crates/quota/src/ledger.rs
@@ -1,7 +1,7 @@
 //! The tail's accounts of all tenants.
 use crate::account::Account;
 use crate::limit::{Limit, Tolerance};
-use crate::messages::{Claim, Grant, TenantUsage};
+use crate::messages::{Claim, Grant, Settlement, TenantUsage};
 use quincehatch_core::{Millis, Name, Version};
 use std::collections::BTreeMap;
 
@@ -9,10 +9,15 @@
 /// tail, each of which counts.
 const SILENT_AFTER: Millis = 700;
 /// A node of which nothing was heard for so long runs nothing: no lease of a node is longer.
-const GONE_AFTER: Millis = 4_200;
+pub(crate) const GONE_AFTER: Millis = 4_200;
 /// How often silent nodes are looked for.
 const CHECK_INTERVAL: Millis = 200;
 
+/// When a node may come again for a tenant that has no account here, in milliseconds.
+const NO_ACCOUNT_MS: u32 = 1_000;
+/// How often accounts are looked through for those that are pressed.
+const PRESSED_INTERVAL: Millis = 40;
+
 /// The accounts of all tenants that have a limit. It is the tail's alone and dies with it: the next tail begins with
 /// empty accounts, as it cannot know what was granted last.
 #[derive(Clone, Debug)]
@@ -27,6 +32,8 @@
     /// Nodes that may hold a lease of an earlier tail, as far as this one knew when it began.
     expected_nodes: usize,
     checked_at: Millis,
+    pressed: Vec<Name>,
+    pressed_at: Option<Millis>,
 }
 
 impl Ledger {
@@ -40,6 +47,8 @@
             began_at: now,
             expected_nodes,
             checked_at: now,
+            pressed: Vec::new(),
+            pressed_at: None,
         }
     }
 
@@ -68,7 +77,7 @@
     }
 
     /// Settles with a node. A tenant that has no account here is granted nothing: the node's configuration is older.
-    pub fn settle(&mut self, now: Millis, node: &Name, claims: &[Claim]) -> Vec<Grant> {
+    pub fn settle(&mut self, now: Millis, node: &Name, claims: &[Claim]) -> Settlement {
         self.note_contact(now, node);
         let mut grants = Vec::with_capacity(claims.len());
         for claim in claims {
@@ -77,12 +86,24 @@
                 None => Grant {
                     tenant: claim.tenant.clone(),
                     tokens: 0,
-                    is_exhausted: claim.needed > 0,
+                    exhausted_ms: NO_ACCOUNT_MS,
                     headroom_percent: 0,
                 },
             });
         }
-        grants
+        Settlement { grants, pressed: self.pressed_tenants(now) }
+    }
+
+    fn pressed_tenants(&mut self, now: Millis) -> Vec<Name> {
+        if self.pressed_at.is_none_or(|at| now >= at + PRESSED_INTERVAL) {
+            let pressed = self
+                .accounts
+                .iter_mut()
+                .filter_map(|(tenant, account)| account.is_pressed(now).then(|| tenant.clone()));
+            self.pressed = pressed.collect();
+            self.pressed_at = Some(now);
+        }
+        self.pressed.clone()
     }
 
     /// Nodes that are cut off go on at their share until their leases are over, so it is not granted to others meanwhile.
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -24,4 +24,4 @@
 pub use allowances::{Admission, AdmissionTotals, Allowances};
 pub use ledger::Ledger;
 pub use limit::{Limit, Tolerance};
-pub use messages::{Claim, Grant, NodeUsage, TenantUsage};
+pub use messages::{Claim, Grant, NodeUsage, Settlement, TenantUsage};
--- a/crates/quota/src/messages.rs
+++ b/crates/quota/src/messages.rs
@@ -30,12 +30,22 @@
         pub tenant: Name,
         /// Tokens for the node.
         pub tokens: u32,
-        /// There were fewer than the node needs: until it settles again it rejects what it has no token for.
-        pub is_exhausted: bool,
+        /// There were fewer than the node needs, and there are none for so long; 0 if there were enough. Meanwhile, or until
+        /// it settles again, it rejects what it has no token for.
+        pub exhausted_ms: u32,
         /// By which the node's own pace may be multiplied, in percent, so that all nodes together keep to the rate.
         pub headroom_percent: u32
     }
 
+    /// The tail's answer to a settlement.
+    #[derive(Eq, Default)]
+    pub struct Settlement {
+        /// One for each claim.
+        pub grants: Vec<Grant>,
+        /// Tenants of which no node may run anything on credit until it settles again.
+        pub pressed: Vec<Name>
+    }
+
     /// What the tail knows of a tenant.
     #[derive(Eq)]
     pub struct TenantUsage {
--- a/crates/quota/src/token_bucket.rs
+++ b/crates/quota/src/token_bucket.rs
@@ -48,6 +48,12 @@
         (self.level / MILLI).max(0) as u64
     }
 
+    /// When there will be a token, in milliseconds from now; 1 at least.
+    pub fn next_token_ms(&self) -> u32 {
+        let missing = (MILLI - self.level).max(0) as u64;
+        (missing / self.limit.rate_per_s.max(1)).clamp(1, u64::from(u32::MAX)) as u32
+    }
+
     /// Whether at least a half is there of what it can hold.
     pub fn is_half_full(&self) -> bool {
         self.level * 2 >= self.capacity()
--- a/crates/quota/tests/fleet/mod.rs
+++ b/crates/quota/tests/fleet/mod.rs
@@ -1,7 +1,7 @@
 //! A fleet of nodes and the keeper that settles with them, in steps of virtual time: requests and replies get lost, nodes
 //! are cut off, killed and back, the keeper goes and another takes over, a tenant floods.
 use quincehatch_core::{Millis, Name};
-use quincehatch_quota::{Admission, Claim, Grant, Ledger, Limit, Tolerance};
+use quincehatch_quota::{Admission, Claim, Ledger, Limit, Settlement, Tolerance};
 use std::collections::{BTreeMap, VecDeque};
 
 mod node;
@@ -46,7 +46,7 @@
 /// A message on its way.
 enum Message {
     Claims { node: usize, settlement: u64, claims: Vec<Claim> },
-    Grants { node: usize, settlement: u64, grants: Vec<Grant> },
+    Granted { node: usize, settlement: u64, answer: Settlement },
 }
 
 pub struct Fleet {
@@ -202,7 +202,9 @@
             let Some((_, message)) = self.messages.pop_front() else { return };
             match message {
                 Message::Claims { node, settlement, claims } => self.deliver_claims(node, settlement, claims),
-                Message::Grants { node, settlement, grants } => self.deliver_grants(node, settlement, grants),
+                Message::Granted { node, settlement, answer } => {
+                    self.deliver_answer(node, settlement, &answer)
+                }
             }
         }
     }
@@ -215,13 +217,13 @@
             claims.iter_mut().for_each(|claim| claim.overdrawn = 0);
         }
         let tail = node % self.tails.len();
-        let grants = self.tails[tail].settle(self.now, &self.nodes[node].name.clone(), &claims);
+        let answer = self.tails[tail].settle(self.now, &self.nodes[node].name.clone(), &claims);
         if !self.nodes[node].is_cut && fastrand::u32(0..100) >= self.loss_percent {
-            self.messages.push_back((self.now + HOP, Message::Grants { node, settlement, grants }));
+            self.messages.push_back((self.now + HOP, Message::Granted { node, settlement, answer }));
         }
     }
 
-    fn deliver_grants(&mut self, index: usize, settlement: u64, grants: Vec<Grant>) {
+    fn deliver_answer(&mut self, index: usize, settlement: u64, answer: &Settlement) {
         let now = self.now;
         let node = &mut self.nodes[index];
         if node.under_way.is_none_or(|(number, _)| number != settlement) {
@@ -229,9 +231,9 @@
         }
         node.under_way = None;
         node.answered_at = now;
-        node.allowances.settled(now, &grants);
+        node.allowances.settled(now, answer);
         if self.bug == Bug::GrantAppliedTwice {
-            node.allowances.settled(now, &grants);
+            node.allowances.settled(now, answer);
         }
         for (tenant, until) in std::mem::take(&mut self.nodes[index].waiting) {
             let admission = self.nodes[index].allowances.admit_waiting(now, &tenant);
--- a/crates/store/src/keeper/requests/quota.rs
+++ b/crates/store/src/keeper/requests/quota.rs
@@ -24,7 +24,7 @@
             return Reply::NotEnrolled;
         }
         let now = self.now;
-        Reply::QuotaGranted { grants: self.quota_ledger().settle(now, node, claims) }
+        Reply::QuotaGranted { settlement: self.quota_ledger().settle(now, node, claims) }
     }
 
     /// What is known of each tenant that has a limit.
--- a/crates/store/src/messages/client.rs
+++ b/crates/store/src/messages/client.rs
@@ -6,7 +6,7 @@
 use crate::store::{AdoptedDocument, Store};
 use crate::view::{View, Voter};
 use quincehatch_core::{ChangeNumber, Error, Millis, Name, Version, messages};
-use quincehatch_quota::{Claim, Grant, TenantUsage};
+use quincehatch_quota::{Claim, Settlement, TenantUsage};
 
 messages! {
     /// Everything that a keeper receives over its listener.
@@ -146,8 +146,8 @@
         },
         /// What the tail grants a node.
         QuotaGranted {
-            /// One for each claim.
-            grants: Vec<Grant>
+            /// What it grants, and what it says of tenants.
+            settlement: Settlement
         },
         /// What the tail knows of tenants' operations.
         Quota {
--- a/crates/store/tests/quota.rs
+++ b/crates/store/tests/quota.rs
@@ -72,7 +72,7 @@
 }
 
 fn granted(reply: Reply) -> Grant {
-    assert_matches!(reply, Reply::QuotaGranted { mut grants } => grants.remove(0))
+    assert_matches!(reply, Reply::QuotaGranted { mut settlement } => settlement.grants.remove(0))
 }
 
 #[test]
@@ -97,7 +97,7 @@
     chain.settle(&tail, "n1", enrolled, 0);
     chain.cluster.run_for(5_000);
     let grant = granted(chain.settle(&tail, "n1", enrolled, 1_000));
-    assert_eq!((grant.tokens, grant.is_exhausted), (50, true));
+    assert_eq!((grant.tokens, grant.exhausted_ms > 0), (50, true));
     chain.cluster.run_for(100);
     assert!(granted(chain.settle(&tail, "n1", enrolled, 1_000)).tokens <= 12, "100 a second");
 }
@@ -121,7 +121,7 @@
         }
     };
     let grant = granted(chain.settle(&new_tail, "n1", enrolled, 50));
-    assert!(grant.tokens <= 2 && grant.is_exhausted, "{grant:?}");
+    assert!(grant.tokens <= 2 && grant.exhausted_ms > 0, "{grant:?}");
 }
 
 /// A lower limit counts from the next settlement on.
