Soak turns a guest's key over with each push and tries revoked keys at every node

Cause: the soak changed configurations, but none had keys; nothing tried a revoked key at nodes that restart, are suspended or are slow. A step of a transaction is held against the tenant that began it, also on the client API.

--- a/crates/proxy/src/client_api/request.rs
+++ b/crates/proxy/src/client_api/request.rs
@@ -102,6 +102,14 @@
 }
 
 impl ClientRequest {
+    /// For whom it takes the route, by its key.
+    ///
+    /// # Errors
+    /// `Unauthenticated` where the route needs a key and this one is no tenant's.
+    pub fn tenant(&self, route: &Route) -> Result<Option<Name>, Error> {
+        self.cluster_state.tenants.authenticate(route, self.key)
+    }
+
     /// Time until the deadline, in milliseconds.
     pub fn time_left(&self) -> Millis {
         self.deadline.saturating_sub(now())
--- a/crates/proxy/src/pipeline.rs
+++ b/crates/proxy/src/pipeline.rs
@@ -8,7 +8,7 @@
 use crate::session_filter::handle_session;
 use crate::transaction::operations as transaction;
 use crate::write::write;
-use quincehatch_core::{Error, ErrorCode, Millis};
+use quincehatch_core::{Error, ErrorCode, Millis, Name};
 use quincehatch_runtime::now;
 use std::ops::RangeInclusive;
 use std::pin::Pin;
@@ -158,16 +158,14 @@
     Ok(())
 }
 
-/// Authenticates the client, and admits what counts against its tenant's limit. A step within a session or transaction
-/// has no route of its own and needs some tenant's key, where keys are required.
+/// Authenticates the client, and admits what counts against its tenant's limit. A step of a transaction has no route of
+/// its own; its key is held against that of the transaction's beginning.
 async fn admit_tenant(services: &Services, request: &ClientRequest) -> Result<(), Error> {
-    let state = request.cluster_state.clone();
-    let tenant = match &request.route {
-        Some(route) => state.tenants.authenticate(route, request.key)?,
-        None => state.tenants.authenticate_step(request.key)?,
-    };
+    let Some(route) = &request.route else { return Ok(()) };
+    let tenant = request.tenant(route)?;
     let is_counted = matches!(request.operation, Operation::Order | Operation::Lookup | Operation::Begin);
-    match tenant.filter(|tenant| is_counted && state.tenants.has_limit(tenant)) {
+    let has_limit = |tenant: &Name| request.cluster_state.tenants.has_limit(tenant);
+    match tenant.filter(|tenant| is_counted && has_limit(tenant)) {
         Some(tenant) => services.quota.admit(&tenant)?.wait().await,
         None => Ok(()),
     }
--- a/crates/proxy/src/tenants/directory.rs
+++ b/crates/proxy/src/tenants/directory.rs
@@ -48,20 +48,8 @@
     /// # Errors
     /// `Unauthenticated` where the route needs a key and this one is no tenant's.
     pub fn authenticate(&self, route: &Route, key: ClientKey) -> Result<Option<Name>, Error> {
-        self.authenticate_where(!route.public, key)
-    }
-
-    /// The same for a step that follows no route.
-    ///
-    /// # Errors
-    /// `Unauthenticated` where keys are required and this one is no tenant's.
-    pub fn authenticate_step(&self, key: ClientKey) -> Result<Option<Name>, Error> {
-        self.authenticate_where(true, key)
-    }
-
-    fn authenticate_where(&self, is_closed: bool, key: ClientKey) -> Result<Option<Name>, Error> {
         let tenant = self.tenant_of(key).cloned();
-        if self.require_keys && is_closed && tenant.is_none() {
+        if self.require_keys && !route.public && tenant.is_none() {
             return Err(ErrorCode::Unauthenticated.without_detail());
         }
         Ok(tenant)
--- a/crates/proxy/src/transaction/open.rs
+++ b/crates/proxy/src/transaction/open.rs
@@ -18,6 +18,8 @@
     pub placement: Name,
     /// The route it takes.
     pub route: Route,
+    /// For whom it began.
+    pub tenant: Option<Name>,
     /// Digest of all statements so far.
     pub digest: Name,
     /// When a request last used it.
--- a/crates/proxy/src/transaction/operations.rs
+++ b/crates/proxy/src/transaction/operations.rs
@@ -30,6 +30,7 @@
         return Err(ErrorCode::InTransaction.without_detail());
     }
     let (configuration, route) = request.configuration_and_route()?;
+    let tenant = request.tenant(&route)?;
     let mut primary = connect_to_primary(services, request).await?;
     let fence = primary.fence;
     let in_flight = services.registry.in_flight.begin(&request.group);
@@ -54,6 +55,7 @@
                 server: request.site.server.clone(),
                 placement: request.site.placement.clone(),
                 route,
+                tenant,
                 digest: Name::default(),
                 last_used: now(),
                 in_flight,
@@ -85,6 +87,10 @@
 fn take_transaction(request: &mut ClientRequest) -> Result<TakenTransaction, Error> {
     let taken = session(request)?.transaction.take();
     let mut transaction = taken.ok_or_else(|| ErrorCode::NoTransaction.without_detail())?;
+    // Dropping it rolls back what ran under a key that was revoked since.
+    if request.tenant(&transaction.route)? != transaction.tenant {
+        return Err(ErrorCode::Unauthenticated.without_detail());
+    }
     request.group = transaction.group.clone();
     request.site.server = transaction.server.clone();
     request.site.placement = transaction.placement.clone();
--- a/crates/testbed/src/configuration_pushes.rs
+++ b/crates/testbed/src/configuration_pushes.rs
@@ -1,10 +1,13 @@
 //! Operators of a run: they push two configurations at once, an invalid one, one twice, and one alone.
+use crate::first_configuration::{GUARDED_DATABASE, guest_key, with_guest_key};
+use crate::fleet::FleetPlan;
 use crate::fleet_calls::{fleet_status, operator_call};
-use crate::history::{AcknowledgedPush, MAX_PUSH_TIME, PushAttempt, PushEnd};
+use crate::history::{AcknowledgedPush, MAX_APPLY_DELAY, MAX_PUSH_TIME, PushAttempt, PushEnd};
 use crate::load_environment::LoadEnvironment;
 use crate::script::{invalid_configuration, with_mark};
 use quincehatch_core::{ErrorCode, Millis};
 use quincehatch_runtime::{now, seam};
+use quincehatch_wire::http::{JsonRequest, call_once};
 use serde_json::{Value, json};
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,6 +17,9 @@
 const PUSH_RETRY: Duration = Duration::from_millis(200);
 /// A push alone is built again so often on what came before it.
 const LONE_PUSHES: usize = 4;
+/// Limits of one request under a revoked key.
+const PROBE_DEADLINE: Millis = 500;
+const PROBE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// A push under its key.
 struct ConfigurationPush<'round> {
@@ -83,12 +89,30 @@
 
 /// Two valid pushes at once on one version and an invalid one beside them; the first once more if it won; then one alone.
 pub async fn push_round(operators: &[String], text: &str, env: &Arc<LoadEnvironment>, mark: u64) {
+    push_marked(operators, &|mark| with_mark(text, mark), env, mark).await;
+}
+
+/// The same, where each configuration has a key of its own; in the end those of the first two are tried at each node.
+pub async fn push_round_with_keys(fleet: &FleetPlan, text: &str, env: &Arc<LoadEnvironment>, mark: u64) {
+    let marked = |mark| with_mark(&with_guest_key(text, mark), mark);
+    if push_marked(&fleet.operator_addresses(), &marked, env, mark).await {
+        check_revoked_keys(fleet, env, [mark, mark + 1]).await;
+    }
+}
+
+/// True if the push alone was taken, so that no configuration before it is in force.
+async fn push_marked(
+    operators: &[String],
+    marked: &(dyn Fn(u64) -> String + Sync),
+    env: &Arc<LoadEnvironment>,
+    mark: u64,
+) -> bool {
     // A node that has just started knows of no version yet.
     let known = fleet_status(operators).await["version"].as_u64();
-    let Some(base) = known.filter(|version| *version > 0) else { return };
+    let Some(base) = known.filter(|version| *version > 0) else { return false };
     let push = |base, text, key| ConfigurationPush { operators, env, base, text, key };
-    let first = push(base, with_mark(text, mark), format!("a{mark}"));
-    let second = push(base, with_mark(text, mark + 1), format!("b{mark}"));
+    let first = push(base, marked(mark), format!("a{mark}"));
+    let second = push(base, marked(mark + 1), format!("b{mark}"));
     let invalid = push(base, invalid_configuration(), format!("x{mark}"));
     let race = Some(mark);
     let (first_end, _, _) =
@@ -98,11 +122,33 @@
     }
     for node in 0..LONE_PUSHES {
         let base = fleet_status(operators).await["version"].as_u64().unwrap_or(base);
-        let alone = push(base, with_mark(text, mark + 2), format!("c{mark}/{node}"));
+        let alone = push(base, marked(mark + 2), format!("c{mark}/{node}"));
         // If another push came first, it is built anew on that one.
         let stale = PushEnd::Rejected(ErrorCode::ConfigurationStale.number().into());
-        if alone.send(node, None, true).await != Some(stale) {
-            return;
+        match alone.send(node, None, true).await {
+            Some(PushEnd::Version(_)) => return true,
+            end if end != Some(stale) => return false,
+            _ => {}
+        }
+    }
+    false
+}
+
+/// A later configuration is in force, so no node serves the keys of these marks any more, also one that was down or is
+/// slow to hear of it.
+async fn check_revoked_keys(fleet: &FleetPlan, env: &Arc<LoadEnvironment>, marks: [u64; 2]) {
+    seam::sleep(Duration::from_millis(MAX_APPLY_DELAY)).await;
+    let body = json!({"text": "get keys", "labels": {"db": GUARDED_DATABASE}, "deadline_ms": PROBE_DEADLINE});
+    for mark in marks {
+        let key = guest_key(mark);
+        for node in &fleet.nodes {
+            let request =
+                JsonRequest { method: "POST", path: "/v1/lookup", body: &body, token: Some(key.as_str()) };
+            let reply = call_once(&node.client_listener, &request, PROBE_TIMEOUT).await;
+            if matches!(reply, Ok((200, _))) {
+                let violation = format!("N13 a key that was revoked is served at {}", node.client_listener);
+                env.history.lock().unwrap().violations.push(violation);
+            }
         }
     }
 }
--- a/crates/testbed/src/scenario.rs
+++ b/crates/testbed/src/scenario.rs
@@ -1,6 +1,6 @@
 //! Runs callers and a script of faults against a real fleet, then checks what callers saw and servers hold.
 use crate::caller::Caller;
-use crate::configuration_pushes::push_round;
+use crate::configuration_pushes::push_round_with_keys;
 use crate::fleet::FleetPlan;
 use crate::fleet_calls::primary_of;
 pub use crate::fleet_calls::{fleet_status, lab_call, operator_call};
@@ -147,9 +147,9 @@
     }
 
     fn start_pushes(&self) {
-        let (operators, env) = (self.plan().operator_addresses(), self.env.clone());
+        let (plan, env) = (self.plan().clone(), self.env.clone());
         let text = std::fs::read_to_string(&self.plan().configuration).unwrap_or_default();
-        tokio::spawn(async move { push_round(&operators, &text, &env, now()).await });
+        tokio::spawn(async move { push_round_with_keys(&plan, &text, &env, now()).await });
     }
 
     /// Does all steps, each at its time.
