--- a/review/3/check.py
+++ b/review/3/check.py
@@ -10,7 +10,7 @@
 BEATS_BEFORE = 68
 LATE_S = 2.0
 DRAIN_S = BOUNDS["drain_ms"] / 1000
-SERVES_ON_S = DRAIN_S + 6.0
+SERVES_ON_S = DRAIN_S + 4.0
 
 
 async def read_forever(deployment, machine, reader, record):
