A late heartbeat of a departed server is known by the first one that arrives after its departure

Cause: precedes_departure compared the heartbeat's number with the last recorded one plus 64. Heartbeats that change nothing are not recorded, so a server that sent more than 64 of them was past that. The same rule let a late heartbeat of a crashed server take the address from the server that has it now.

Change: the number at which a server left is unknown, and nothing is derived from it. The first heartbeat that is newer than the recorded one and arrives after the departure counts as late, and its number is recorded, in a new last field of the store (data of earlier versions is read). Numbers less than 64 above it are late too. It needs no clock, and one entry for a departure.

The test of stores without departures now also leaves out the new field.

--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -2,11 +2,13 @@
 //! store is deterministic: it depends on no clock, no random number and no property of the machine.
 
 mod commands;
+mod delayed_heartbeats;
 mod departures;
 mod documents;
 mod history;
 mod primaries;
 mod servers;
+mod trailing_field;
 
 pub use departures::{Departure, MAX_DEPARTURES};
 pub use documents::{
@@ -70,8 +72,11 @@
         /// The number under which each document of the operator was recorded.
         pub documents: DocumentRegister,
         /// The servers that were removed from each group, oldest first.
-        #[borsh(deserialize_with = "departures::read_departures")]
-        pub departures: BTreeMap<Name, VecDeque<Departure>>
+        #[borsh(deserialize_with = "trailing_field::read_or_default")]
+        pub departures: BTreeMap<Name, VecDeque<Departure>>,
+        /// The number of the first heartbeat that arrived after its server's departure, for each departed server.
+        #[borsh(deserialize_with = "trailing_field::read_or_default")]
+        pub first_delayed: BTreeMap<Name, u64>
     }
 
     /// A document that the operator submitted and that came into force.
--- a/crates/store/src/store/commands.rs
+++ b/crates/store/src/store/commands.rs
@@ -1,5 +1,6 @@
 //! Execution of commands on the store.
 use crate::command::{Answer, Command};
+use crate::store::delayed_heartbeats::HeartbeatTiming;
 use crate::store::documents::{DocumentOutcome, RecordedDocument, document_digest};
 use crate::store::servers::{is_redundant, upsert_server};
 use crate::store::{AdoptedDocument, HistoryEntry, RecordedAnswer, Store, promotion_role_key};
@@ -12,7 +13,10 @@
         let is_no_op = match command {
             Command::RegisterServer { at: record } => {
                 let known = self.servers.get(&record.server);
-                known.map_or_else(|| self.precedes_departure(record), |known| is_redundant(known, record))
+                known.map_or_else(
+                    || self.heartbeat_timing(record) == HeartbeatTiming::Delayed,
+                    |known| is_redundant(known, record),
+                )
             }
             Command::DeregisterServer { server } => !self.servers.contains_key(server),
             Command::AdoptDocument { number, source, .. } => {
@@ -93,12 +97,21 @@
     /// Records a server, unless a newer heartbeat of it is already recorded or the server has left since this heartbeat
     /// was sent.
     fn register_server(&mut self, record: &ServerRecord) -> Answer {
-        let known = self.servers.get(&record.server);
-        let is_newer = known.map_or_else(|| !self.precedes_departure(record), |known| known.seq < record.seq);
-        if is_newer {
-            self.record_displaced_servers(record);
-            upsert_server(&mut self.servers, record);
-            self.record_successor(record);
+        let timing = match self.servers.get(&record.server) {
+            None => self.heartbeat_timing(record),
+            Some(known) if known.seq < record.seq => HeartbeatTiming::Current,
+            Some(_) => HeartbeatTiming::Delayed,
+        };
+        match timing {
+            HeartbeatTiming::Current => {
+                self.record_displaced_servers(record);
+                upsert_server(&mut self.servers, record);
+                self.record_successor(record);
+            }
+            HeartbeatTiming::FirstDelayed => {
+                self.first_delayed.insert(record.server.clone(), record.seq);
+            }
+            HeartbeatTiming::Delayed => {}
         }
         Answer::Done
     }
--- a/crates/store/src/store/departures.rs
+++ b/crates/store/src/store/departures.rs
@@ -1,21 +1,15 @@
-//! Servers that were removed from the store. For each one the store records which server has its log now, and
-//! recognises heartbeats that it sent before it left.
+//! Servers that were removed from the store. For each one the store records which server has its log now.
+//! [`super::delayed_heartbeats`] recognises heartbeats that it sent before it left.
 //!
 //! The log of a server that shut down gracefully passes to the next server at its address. A node that promotes a
 //! server must know this: it can never query the departed server again, and a voter that it cannot query may hold
 //! acknowledged commits. A node would lose this information when its process ends, so it is part of the replicated
 //! store.
 use crate::store::Store;
-use borsh::BorshDeserialize;
-use borsh::io::{Read, Result};
 use quincehatch_core::{Name, PrimaryAssignment, ServerRecord, messages};
-use std::collections::{BTreeMap, VecDeque};
 
 /// Number of departures that are retained for each group.
 pub const MAX_DEPARTURES: usize = 16;
-/// A heartbeat of a departed server counts as sent before the departure if its number is at most this much above the
-/// last recorded one.
-const MAX_DELAYED_HEARTBEATS: u64 = 64;
 
 messages! {
     /// A server that was removed from the store.
@@ -34,18 +28,6 @@
     }
 }
 
-/// The departures of each group, oldest first.
-pub(super) type Departures = BTreeMap<Name, VecDeque<Departure>>;
-
-/// Reads the departures, which are the last field of a stored [`Store`]. Earlier versions did not write this field.
-pub(super) fn read_departures<R: Read>(reader: &mut R) -> Result<Departures> {
-    let mut first_byte = [0; 1];
-    if reader.read(&mut first_byte)? == 0 {
-        return Ok(Departures::new());
-    }
-    Departures::deserialize_reader(&mut first_byte.as_slice().chain(reader))
-}
-
 impl Store {
     /// Removes a server that shuts down gracefully.
     pub(super) fn deregister_server(&mut self, server: &Name) {
@@ -68,8 +50,10 @@
         let departures = self.departures.entry(group.clone()).or_default();
         departures.retain(|departure| departure.server != server);
         departures.push_back(Departure { server: server.clone(), addr, seq, in_order, successor: None });
-        if departures.len() > MAX_DEPARTURES {
-            departures.pop_front();
+        let forgotten = if departures.len() > MAX_DEPARTURES { departures.pop_front() } else { None };
+        self.first_delayed.remove(&server);
+        if let Some(forgotten) = forgotten {
+            self.first_delayed.remove(&forgotten.server);
         }
         if in_order {
             self.add_to_voters(&group, &server);
@@ -86,19 +70,15 @@
         }
     }
 
-    /// Whether a heartbeat was sent before its server departed.
-    pub(super) fn precedes_departure(&self, record: &ServerRecord) -> bool {
-        let departure = self.departure(&record.group, &record.server);
-        departure.is_some_and(|departure| record.seq <= departure.seq.saturating_add(MAX_DELAYED_HEARTBEATS))
-    }
-
-    fn departure(&self, group: &Name, server: &Name) -> Option<&Departure> {
+    /// Returns the departure of a server; `None` if it has not departed or the departure is not retained.
+    pub(super) fn departure(&self, group: &Name, server: &Name) -> Option<&Departure> {
         let departures = self.departures.get(group)?;
         departures.iter().find(|departure| departure.server == *server)
     }
 
     /// Records a newly registered server as the successor of all servers that shut down gracefully at its address.
     pub(super) fn record_successor(&mut self, record: &ServerRecord) {
+        self.first_delayed.remove(&record.server);
         let Some(departures) = self.departures.get_mut(&record.group) else { return };
         departures.retain(|departure| departure.server != record.server);
         for departure in departures.iter_mut() {
--- a/crates/store/tests/departures.rs
+++ b/crates/store/tests/departures.rs
@@ -178,11 +178,22 @@
 }
 
 #[test]
-fn a_store_of_a_version_without_departures_is_read() {
+fn a_store_of_a_version_without_departures_or_delayed_heartbeats_is_read() {
     let followed = group_of_three();
-    assert!(followed.store.departures.is_empty());
+    assert!(followed.store.departures.is_empty() && followed.store.first_delayed.is_empty());
     let mut bytes = borsh::to_vec(&followed.store).unwrap();
     assert_eq!(borsh::from_slice::<Store>(&bytes).unwrap(), followed.store);
+    for _earlier_version in ["without delayed heartbeats", "without departures"] {
+        bytes.truncate(bytes.len() - size_of::<u32>());
+        assert_eq!(borsh::from_slice::<Store>(&bytes).unwrap(), followed.store);
+    }
+}
+
+#[test]
+fn departures_are_read_when_the_version_that_stored_them_had_no_delayed_heartbeats() {
+    let mut followed = group_of_three();
+    followed.deregister("b");
+    let mut bytes = borsh::to_vec(&followed.store).unwrap();
     bytes.truncate(bytes.len() - size_of::<u32>());
     assert_eq!(borsh::from_slice::<Store>(&bytes).unwrap(), followed.store);
 }
