--- a/crates/lab/src/cli/flags.rs
+++ b/crates/lab/src/cli/flags.rs
@@ -4,7 +4,7 @@
 use std::str::FromStr;
 
 /// Flags without a value.
-const SWITCHES: &[&str] = &["untimed", "final", "promotion-faults", "direct", "control"];
+const SWITCHES: &[&str] = &["untimed", "final", "promotion-faults", "direct", "departures", "control"];
 /// Flags with a value.
 const VALUE_FLAGS: &[&str] = &[
     "shape",
--- a/crates/lab/src/simulate/direct.rs
+++ b/crates/lab/src/simulate/direct.rs
@@ -25,6 +25,7 @@
         seed,
         keepers: options.keepers,
         nodes: options.nodes,
+        departures: options.departures,
         bug: options.injected_bug.clone(),
         verbose: options.is_verbose(),
     })
--- a/crates/simulator/src/direct/mod.rs
+++ b/crates/simulator/src/direct/mod.rs
@@ -7,6 +7,7 @@
 mod client_connection;
 mod connection;
 mod delivery;
+mod departures;
 mod fault_injection;
 mod faults;
 mod ledger;
--- a/crates/simulator/src/direct/run.rs
+++ b/crates/simulator/src/direct/run.rs
@@ -42,6 +42,8 @@
     pub keepers: usize,
     /// Number of nodes.
     pub nodes: usize,
+    /// Whether servers also leave while their last heartbeats are delayed.
+    pub departures: bool,
     /// Name of a deliberate bug to enable.
     pub bug: Option<String>,
     /// Whether to print the trace.
@@ -73,12 +75,18 @@
     });
     simulation.run_until(FAULTS_START);
     fleet.schedule_faults(FAULTS_START, FAULT_PERIOD);
+    if options.departures {
+        fleet.schedule_departures(FAULTS_START);
+    }
     simulation.run_until(FAULTS_START + FAULT_PERIOD);
     fleet.heal_all();
     let healed_at = simulation.now();
     simulation.run_until(healed_at + RECOVERY_PERIOD);
     stop.store(true, Ordering::SeqCst);
     simulation.run_until(healed_at + RECOVERY_PERIOD + CLIENT_STOP_PERIOD);
+    if options.departures {
+        fleet.check_listed_servers();
+    }
     let report = report(options.seed, &fleet, healed_at);
     fleet.shut_down();
     report
--- a/crates/simulator/src/direct/server.rs
+++ b/crates/simulator/src/direct/server.rs
@@ -92,7 +92,9 @@
     pub replies_to_lose: u32,
     /// Whether the server is draining.
     pub draining: bool,
-    /// When the replicated store acknowledged that the server is draining.
+    /// Whether the server is leaving without draining.
+    pub is_leaving: bool,
+    /// When the replicated store acknowledged that the server is draining or has deregistered.
     pub drain_acknowledged_at: Option<Millis>,
     /// Sequence number of the newest registration.
     pub registration_sequence: u64,
