--- a/crates/store/tests/delayed_heartbeats.rs
+++ b/crates/store/tests/delayed_heartbeats.rs
@@ -3,9 +3,12 @@
 //! Guards against a delayed heartbeat that registers a departed server again: nodes sent work to a server that had
 //! deregistered, until it ended. Heartbeats that change nothing are not recorded, so their numbers are far above the
 //! recorded one once a server has run for a while.
-use quincehatch_core::{Role, ServerRecord};
+mod server_records;
+
+use quincehatch_core::ServerRecord;
 use quincehatch_store::feed::FeedEvent;
 use quincehatch_store::{Answer, Command, Entry, Store};
+use server_records::record;
 
 /// Number of the heartbeat that registered the servers below, and of the last one that they sent.
 const RECORDED: u64 = 10;
@@ -13,19 +16,6 @@
 /// Number of heartbeats after which a server that goes on is registered again.
 const REFUSED_HEARTBEATS: u64 = 64;
 
-fn record(server: &str, addr: &str, seq: u64) -> ServerRecord {
-    ServerRecord {
-        server: server.into(),
-        group: "g".into(),
-        addr: addr.into(),
-        zone: "z".into(),
-        slots: 5,
-        draining: false,
-        role: Role::Replica,
-        seq,
-    }
-}
-
 fn write(store: &mut Store, command: Command) -> FeedEvent {
     let number = store.last_change + 1;
     let entry = Entry { number, key: format!("{number}").into(), command };
--- a/crates/store/tests/departures.rs
+++ b/crates/store/tests/departures.rs
@@ -1,10 +1,11 @@
 //! Departed servers: the successors that have their logs, and heartbeats that arrive after the departure.
-use quincehatch_core::{Name, PrimaryAssignment, Role, ServerRecord};
+mod server_records;
+
+use quincehatch_core::{Name, PrimaryAssignment, ServerRecord};
 use quincehatch_store::feed::FeedEvent;
 use quincehatch_store::store::{MAX_DEPARTURES, promotion_role_key};
 use quincehatch_store::{Answer, Change, Command, Entry, FeedSnapshot, FeedState, Store};
-
-const GROUP: &str = "g";
+use server_records::{GROUP, record};
 
 /// A store, and a node that follows its feed from the first change.
 #[derive(Default)]
@@ -13,19 +14,6 @@
     node: FeedState,
 }
 
-fn record(server: &str, addr: &str, seq: u64) -> ServerRecord {
-    ServerRecord {
-        server: server.into(),
-        group: GROUP.into(),
-        addr: addr.into(),
-        zone: "z".into(),
-        slots: 5,
-        draining: false,
-        role: Role::Replica,
-        seq,
-    }
-}
-
 fn names(names: &[&str]) -> Vec<Name> {
     names.iter().map(|name| Name::from(*name)).collect()
 }
