Log lines say why a promotion failed and why a lease was lost

Change: the line of a failed promotion names the phase and the reason; that of a lost lease the time since its renewal and how the last poll ended.

--- a/crates/failover/src/promotion.rs
+++ b/crates/failover/src/promotion.rs
@@ -10,6 +10,7 @@
 pub use plan::PromotionPlan;
 pub use protocol::{Phase, PromotionAction, PromotionEvent};
 
+use derive_more::Display;
 use quincehatch_core::{FencingToken, Millis, Name, Position, PrimaryAssignment};
 use std::collections::BTreeMap;
 
@@ -45,9 +46,20 @@
     /// The voter sets in force, as the store returned them with the closed assignment; empty before the first
     /// assignment.
     voter_sets: Vec<Vec<Name>>,
+    failure: Option<PromotionFailure>,
     actions: Vec<PromotionAction>,
 }
 
+/// Why a promotion was abandoned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[display("{reason} while {}", phase.label())]
+pub struct PromotionFailure {
+    /// The phase in which it was abandoned.
+    pub phase: Phase,
+    /// What ended it.
+    pub reason: &'static str,
+}
+
 impl Promotion {
     /// Starts a promotion. Returns it with its first actions.
     pub fn new(now: Millis, plan: PromotionPlan) -> (Self, Vec<PromotionAction>) {
@@ -62,6 +74,7 @@
             chosen: None,
             acknowledged_end: None,
             voter_sets: Vec::new(),
+            failure: None,
             actions: Vec::new(),
         };
         promotion.log("is begun");
@@ -75,6 +88,11 @@
         matches!(self.phase, Phase::Done | Phase::Failed)
     }
 
+    /// Why the promotion was abandoned; `None` if it was not.
+    pub fn failure(&self) -> Option<PromotionFailure> {
+        self.failure
+    }
+
     /// Processes an event. Returns the actions to carry out now.
     pub fn step(&mut self, now: Millis, event: PromotionEvent) -> Vec<PromotionAction> {
         if self.is_finished() {
@@ -162,8 +180,9 @@
         self.request(now);
     }
 
-    fn fail(&mut self, reason: &str) {
+    fn fail(&mut self, reason: &'static str) {
         self.log(reason);
+        self.failure = Some(PromotionFailure { phase: self.phase, reason });
         self.phase = Phase::Failed;
     }
 
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -2,6 +2,7 @@
 mod cluster_state;
 mod enrollment;
 mod follower;
+mod lease_log;
 mod server_records;
 
 pub use cluster_state::cluster_state_from;
--- a/crates/node/src/feed/follower.rs
+++ b/crates/node/src/feed/follower.rs
@@ -1,6 +1,7 @@
 //! Polls the change feed at the tail of the keepers' chain, and applies what it returns.
 use super::cluster_state::publish;
 use super::enrollment::enroll;
+use super::lease_log::LeaseLog;
 use crate::node::Node;
 use quincehatch_core::{ChangeNumber, ErrorCode, Millis, Name, ServerRecord};
 use quincehatch_runtime::{now, seam};
@@ -51,7 +52,7 @@
     /// The number of enrollments of this process so far, including a pending one. An unanswered enrollment is retried
     /// with the same number: the store may have applied it, and a new enrollment would supersede it.
     enrollment_count: u64,
-    had_lease: bool,
+    lease_log: LeaseLog,
     /// The number of consecutive polls at this tail that were not answered in time.
     unanswered_polls: u32,
     /// The records of direct servers as last published to the registry.
@@ -65,7 +66,7 @@
             node,
             enrollment: 0,
             enrollment_count: 1,
-            had_lease: false,
+            lease_log: LeaseLog::default(),
             unanswered_polls: 0,
             published_servers: BTreeMap::new(),
         }
@@ -139,16 +140,20 @@
                 Some(lease_ms).filter(|lease_ms| is_applied && *lease_ms > 0)
             }
             Ok(Reply::Redirect { view }) => {
+                self.lease_log.record_failure(format!("{polled_tail} redirected it"));
                 self.node.store_client.adopt_view_if_newer(view);
                 self.tail = self.node.store_client.tail_after_failure(&self.tail).await;
                 None
             }
             Ok(Reply::NotEnrolled) => {
+                self.lease_log.record_failure("this process is not enrolled".into());
                 self.enrollment = 0;
                 self.enrollment_count += 1;
                 None
             }
-            Ok(_) | Err(_) => {
+            other => {
+                let error = other.err().map_or_else(|| "unexpected reply".into(), |error| error.to_string());
+                self.lease_log.record_failure(error);
                 self.node.store_client.refresh_view().await;
                 self.tail = self.node.store_client.tail_address();
                 None
@@ -162,6 +167,7 @@
             publish(&self.node, &mut self.published_servers);
         }
         if let Some(lease_ms) = lease_ms.filter(|_| !self.has_left()) {
+            self.lease_log.record_renewal(sent_at);
             self.node.proxy.registry.renew_lease(sent_at + minus_clock_drift(lease_ms));
         }
         self.log_lease_change();
@@ -208,13 +214,7 @@
 
     fn log_lease_change(&mut self) {
         let has_lease = self.node.proxy.registry.has_lease();
-        if has_lease != self.had_lease {
-            let name = &self.node.proxy.settings.name;
-            let change =
-                if has_lease { "holds its lease" } else { "has lost its lease and accepts no requests" };
-            log::info!(target: "lease", "node {name} {change}");
-            self.had_lease = has_lease;
-        }
+        self.lease_log.log_change(&self.node.proxy.settings.name.as_str().into(), has_lease);
     }
 
     /// Returns the retry interval in milliseconds. In a large fleet it has random jitter, because all nodes lose a
--- a/crates/node/src/promotion/execution.rs
+++ b/crates/node/src/promotion/execution.rs
@@ -45,7 +45,8 @@
     }
     let (phase, elapsed) = (promotion.phase, now() - started_at);
     node.promotion_state.counts.record_outcome(phase.label());
-    let line = format!("promotion in {group} ended {phase:?} after {elapsed} ms");
+    let reason = promotion.failure().map(|failure| format!(": {failure}")).unwrap_or_default();
+    let line = format!("promotion in {group} ended {phase:?} after {elapsed} ms{reason}");
     node.promotion_state.record_event(line);
 }
 
