--- a/crates/node/src/feed/follower.rs
+++ b/crates/node/src/feed/follower.rs
@@ -3,7 +3,7 @@
 use super::enrollment::enroll;
 use super::lease_log::LeaseLog;
 use crate::node::Node;
-use quincehatch_core::{ChangeNumber, ErrorCode, Millis, Name, ServerRecord};
+use quincehatch_core::{ChangeNumber, Error, ErrorCode, Millis, Name, ServerRecord};
 use quincehatch_runtime::{now, seam};
 use quincehatch_store::timing::{MIN_FEED_POLL_WAIT, feed_poll_wait, minus_clock_drift};
 use quincehatch_store::{Change, FeedSnapshot, FeedState, Reply, Request};
@@ -132,7 +132,28 @@
             Err(()) => Err(ErrorCode::ChainUnavailable.with_detail("another keeper has become the tail")),
         };
         self.unanswered_polls = if reply.is_err() { self.unanswered_polls + 1 } else { 0 };
-        let lease_ms = match reply {
+        let lease_ms = self.handle_reply(reply, &polled_tail).await;
+        if self.tail != polled_tail {
+            self.unanswered_polls = 0;
+        }
+        // The applied state is published to the registry before the next poll acknowledges it.
+        if self.last_change() > previous_change {
+            publish(&self.node, &mut self.published_servers);
+        }
+        if let Some(lease_ms) = lease_ms.filter(|_| !self.has_left()) {
+            self.lease_log.record_renewal(sent_at);
+            self.node.proxy.registry.renew_lease(sent_at + minus_clock_drift(lease_ms));
+        }
+        self.log_lease_change();
+        // Applied changes are acknowledged by the next poll, which is therefore sent without a pause.
+        if self.last_change() <= previous_change {
+            self.pause(sent_at, lease_ms.is_some()).await;
+        }
+    }
+
+    /// Applies the reply to a poll. Returns the lease term if the reply renews the lease.
+    async fn handle_reply(&mut self, reply: Result<Reply, Error>, polled_tail: &str) -> Option<Millis> {
+        match reply {
             Ok(Reply::Changes { changes, lease_ms }) => self.apply_changes(&changes).then_some(lease_ms),
             Ok(Reply::Snapshot { snapshot, lease_ms }) => self.apply_snapshot(*snapshot).then_some(lease_ms),
             Ok(Reply::PackedSnapshot { snapshot, lease_ms }) => {
@@ -158,22 +179,6 @@
                 self.tail = self.node.store_client.tail_address();
                 None
             }
-        };
-        if self.tail != polled_tail {
-            self.unanswered_polls = 0;
-        }
-        // The applied state is published to the registry before the next poll acknowledges it.
-        if self.last_change() > previous_change {
-            publish(&self.node, &mut self.published_servers);
-        }
-        if let Some(lease_ms) = lease_ms.filter(|_| !self.has_left()) {
-            self.lease_log.record_renewal(sent_at);
-            self.node.proxy.registry.renew_lease(sent_at + minus_clock_drift(lease_ms));
-        }
-        self.log_lease_change();
-        // Applied changes are acknowledged by the next poll, which is therefore sent without a pause.
-        if self.last_change() <= previous_change {
-            self.pause(sent_at, lease_ms.is_some()).await;
         }
     }
 
--- a/crates/wire/src/caller.rs
+++ b/crates/wire/src/caller.rs
@@ -5,6 +5,7 @@
 };
 use crate::{Call, CallError, Destination, Identity, ProcessId, RetrySafety, call_counters};
 use compact_str::format_compact;
+use quincehatch_runtime::now;
 use quincehatch_runtime::seam::{self, World};
 use std::io;
 use std::sync::Arc;
@@ -162,7 +163,7 @@
         if !connection.accepts(&to, responder) {
             return Err(outgoing.error(invalid_data("another process answers")));
         }
-        self.idle.put(to.addr, Connection { peer: Some(responder), ..connection });
+        self.idle.put(to.addr, Connection { peer: Some(responder), ..connection }, now());
         Ok(answer)
     }
 
