A completed promotion is not repeated while the coordinator's feed still shows the closed assignment

Cause: a coordinator that had named the new primary still saw its own closed assignment in the feed, which a long configuration held up for up to 1.7 s. It took that for a promotion that it had left unfinished and began another one each 300 ms, each superseded by its own token. Change: a closed assignment counts as left unfinished only if its token is above that of this node's latest completed promotion. If the named server never shows, the usual wait of 4 s for somebody else's promotion ends it. Test: a_completed_promotion_is_not_repeated_while_the_feed_still_shows_the_closed_assignment; without the comparison its first assertion fails.

--- a/crates/node/src/promotion/direct/supervision.rs
+++ b/crates/node/src/promotion/direct/supervision.rs
@@ -68,11 +68,8 @@
     state: &mut GroupState,
 ) -> GroupObservation {
     let mut observation = observe_group(node, group, state, servers);
-    // If this node itself left a promotion unfinished, no other node is running it: the next one need not wait for it.
-    let left_by_this_node = state.primary.as_ref().is_some_and(|assignment| {
-        assignment.server.is_none() && assignment.assigned_by == node.gossip.local_name
-    });
-    if left_by_this_node {
+    let completed_fence = node.promotion_state.completed_fence(group);
+    if state.was_left_unfinished_by(&node.gossip.local_name, completed_fence) {
         observation.primary_unchanged_for = observation.primary_unchanged_for.max(STUCK_PROMOTION_TIMEOUT);
     }
     let Some(name) = state.primary_server() else { return observation };
--- a/crates/node/src/promotion/execution.rs
+++ b/crates/node/src/promotion/execution.rs
@@ -3,7 +3,7 @@
 use super::{direct, pooled};
 use crate::node::Node;
 use quincehatch_core::{ErrorCode, Name, PrimaryAssignment};
-use quincehatch_failover::promotion::{Promotion, PromotionAction, PromotionEvent, PromotionPlan};
+use quincehatch_failover::promotion::{Phase, Promotion, PromotionAction, PromotionEvent, PromotionPlan};
 use quincehatch_gossip::{NodeQuery, NodeReply};
 use quincehatch_runtime::{now, seam};
 use quincehatch_store::store::promotion_role_key;
@@ -44,6 +44,9 @@
         executor.start_actions(actions);
     }
     let (phase, elapsed) = (promotion.phase, now() - started_at);
+    if phase == Phase::Done {
+        node.promotion_state.record_completed_fence(&group, promotion.fence);
+    }
     node.promotion_state.counts.record_outcome(phase.label());
     let reason = promotion.failure().map(|failure| format!(": {failure}")).unwrap_or_default();
     let line = format!("promotion in {group} ended {phase:?} after {elapsed} ms{reason}");
--- a/crates/node/src/promotion/group_state.rs
+++ b/crates/node/src/promotion/group_state.rs
@@ -74,6 +74,17 @@
         self.primary.as_ref().and_then(|assignment| assignment.server.clone())
     }
 
+    /// Whether this node closed the assignment and left the promotion unfinished: no other node runs it, so the next one
+    /// need not wait for it. `completed_fence`: the token of this node's latest completed promotion. The feed may still
+    /// show the closed assignment after that promotion has named a server.
+    pub fn was_left_unfinished_by(&self, node: &Name, completed_fence: FencingToken) -> bool {
+        self.primary.as_ref().is_some_and(|assignment| {
+            assignment.server.is_none()
+                && assignment.assigned_by == *node
+                && assignment.fence > completed_fence
+        })
+    }
+
     /// Whether a promotion that this node started is still running.
     pub fn is_promoting(&self) -> bool {
         self.promotion.as_ref().is_some_and(|task| !task.is_finished())
@@ -96,3 +107,6 @@
         if is_direct { DIRECT_PAUSE } else { POOLED_PAUSE }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/promotion/state.rs
+++ b/crates/node/src/promotion/state.rs
@@ -24,6 +24,8 @@
     pub known_processes: KnownProcesses,
     /// The latest fencing token that this process acquired for each group.
     own_fences: Mutex<BTreeMap<Name, FencingToken>>,
+    /// The fencing token of this process's latest completed promotion of each group.
+    completed_fences: Mutex<BTreeMap<Name, FencingToken>>,
     /// Identifies this process.
     pub incarnation: Incarnation,
     /// Counts of promotions by phase and outcome.
@@ -79,6 +81,16 @@
         self.own_fences.lock().unwrap().get(group).copied().unwrap_or_default()
     }
 
+    /// Records that this process completed a promotion of the group under a fencing token.
+    pub fn record_completed_fence(&self, group: &Name, fence: FencingToken) {
+        self.completed_fences.lock().unwrap().insert(group.clone(), fence);
+    }
+
+    /// The fencing token of this process's latest completed promotion of the group; 0 before the first.
+    pub fn completed_fence(&self, group: &Name) -> FencingToken {
+        self.completed_fences.lock().unwrap().get(group).copied().unwrap_or_default()
+    }
+
     /// Logs a line of a promotion's progress and retains it for operators.
     pub fn record_event(&self, line: String) {
         log::info!(target: "promote", "{line}");
