--- a/crates/simulator/src/direct/departures.rs
+++ b/crates/simulator/src/direct/departures.rs
@@ -2,6 +2,7 @@
 //! are delayed.
 use super::operator::{DRAIN_TIME, WRITE_TIMEOUT, millis};
 use super::operator::{deregister_server, drain_start, operator_client, stop_and_replace};
+use super::schedule::RandomGaps;
 use super::server_group::GroupState;
 use super::setup::{DirectFleet, GROUP, SERVERS};
 use quincehatch_core::{Millis, ServerRecord};
@@ -117,15 +118,8 @@
 
     /// Schedules random departures from `from` on.
     pub(super) fn schedule_departures(self: &Arc<Self>, from: Millis) {
-        let mut at = from;
-        loop {
-            at += MIN_DEPARTURE_GAP + self.simulation.lock().rng.below(DEPARTURE_GAP_SPREAD);
-            if at >= from + DEPARTURE_PERIOD {
-                return;
-            }
-            let fleet = self.clone();
-            self.simulation.schedule_action(at, move |_| fleet.begin_departure());
-        }
+        let gaps = RandomGaps { shortest: MIN_DEPARTURE_GAP, spread: DEPARTURE_GAP_SPREAD };
+        self.schedule_repeatedly(from, DEPARTURE_PERIOD, gaps, |fleet| fleet.begin_departure());
     }
 
     /// Checks that each node lists exactly the running servers, once all faults are long healed.
--- a/crates/simulator/src/direct/faults.rs
+++ b/crates/simulator/src/direct/faults.rs
@@ -1,4 +1,5 @@
 //! Faults of a fleet on direct connections, drawn from the seed.
+use super::schedule::RandomGaps;
 use super::setup::{DirectFleet, SERVERS};
 use crate::fleet::simulation::ProcessId;
 use quincehatch_core::Millis;
@@ -197,17 +198,10 @@
 
     /// Schedules random faults from `from` on for `period`. Faults can overlap.
     pub fn schedule_faults(self: &Arc<Self>, from: Millis, period: Millis) {
-        let mut at = from;
-        loop {
-            at += MIN_FAULT_GAP + self.simulation.lock().rng.below(FAULT_GAP_SPREAD);
-            if at >= from + period {
-                return;
-            }
-            let fleet = self.clone();
-            self.simulation.schedule_action(at, move |_| {
-                let fault = fleet.draw_fault();
-                fleet.inject(fault);
-            });
-        }
+        let gaps = RandomGaps { shortest: MIN_FAULT_GAP, spread: FAULT_GAP_SPREAD };
+        self.schedule_repeatedly(from, period, gaps, |fleet| {
+            let fault = fleet.draw_fault();
+            fleet.inject(fault);
+        });
     }
 }
--- a/crates/simulator/src/direct/mod.rs
+++ b/crates/simulator/src/direct/mod.rs
@@ -18,6 +18,7 @@
 mod replies;
 mod request_execution;
 mod run;
+mod schedule;
 mod sent_statement;
 mod server;
 mod server_group;
--- a/crates/simulator/src/direct/slow_promoter.rs
+++ b/crates/simulator/src/direct/slow_promoter.rs
@@ -1,5 +1,6 @@
 //! A promoter that carries calls out seconds after they arrived, while the server that it was called for receives nothing.
 use super::faults::Fault;
+use super::schedule::RandomGaps;
 use super::server_group::{Interruption, ServerGroup};
 use super::setup::DirectFleet;
 use crate::fleet::simulation::Simulation;
@@ -106,14 +107,7 @@
 
     /// Schedules random slow periods of the promoter from `from` on, each with a requested handover.
     pub(super) fn schedule_slow_promoter(self: &Arc<Self>, from: Millis) {
-        let mut at = from;
-        loop {
-            at += MIN_GAP + self.simulation.lock().rng.below(GAP_SPREAD);
-            if at >= from + SLOW_PERIODS {
-                return;
-            }
-            let fleet = self.clone();
-            self.simulation.schedule_action(at, move |_| fleet.begin_slow_period());
-        }
+        let gaps = RandomGaps { shortest: MIN_GAP, spread: GAP_SPREAD };
+        self.schedule_repeatedly(from, SLOW_PERIODS, gaps, |fleet| fleet.begin_slow_period());
     }
 }
