--- a/review/standin2/database.py
+++ b/review/standin2/database.py
@@ -21,7 +21,7 @@
         self.group, self.name, self.address, self.role = group, name, address, role
         self.term, self.log, self.suspended = 1, [], 0
         self.delay_s, self.late_beats_s, self.seq_step = REPLICATION_S, 0.0, 1
-        self.beating = True
+        self.beating, self.congested = True, False
         self.deaf, self.running, self.state, self.seq = False, False, "in_service", 0
         self.connections, self.listener, self.zone = set(), None, "z1"
         self.slots = asyncio.Semaphore(group.slots)
@@ -98,6 +98,8 @@
         await writer.drain()
 
     async def run(self, session, statement_id, text):
+        if self.congested:
+            raise Refused("CONGESTED")
         floor = None
         if text.startswith("NOTBEFORE "):
             _, position, text = text.split(" ", 2)
