--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,7 +1,8 @@
-"""A server that deregisters first and serves on, two of whose heartbeats come seconds late."""
+"""Requests that a stopping node took within 3 s of its SIGTERM, and that servers answer before the last sixth of the grace."""
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 
 HERE = pathlib.Path(__file__).resolve().parent
@@ -9,94 +10,89 @@
 from deployment import Deployment, configuration, route  # noqa: E402
 from group import Group  # noqa: E402
 from record import Record  # noqa: E402
-from wire import Client, Closed, http  # noqa: E402
+from wire import Client  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-STEP = int(os.environ.get("STEP", "1200"))
-DRAIN_S = 7.0
-SERVES_ON_S = 13.0
+GRACE_S = 6.0
+# Servers are done before the last sixth of the grace begins, at 5.0 s.
+DONE_S = 4.85
+# The platform passes new connections to the node until it has missed two probes; these sessions open before that.
+OPENED_S, EARLY_SENT_S, LATE_SENT_S = 0.8, 2.2, 2.9
 
 
-async def read(record, deployment, number, until):
-    """One client: looks orders up one after the other."""
-    client = None
-    while not until.is_set():
-        try:
-            if client is None:
-                client = Client(record, f"r{number}")
-                ready = await client.open(deployment.client_address(number % 3), "status")
-                if not ready.startswith("READY"):
-                    raise Closed(ready)
-            answer = await client.query(f"READ rx{number}", timeout=5)
-            if answer["ended"]:
-                raise Closed(answer["ended"])
-            await asyncio.sleep(0.05)
-        except (OSError, Closed, asyncio.TimeoutError):
-            if client is not None:
-                client.close()
-            client = None
-            await asyncio.sleep(0.1)
+async def session(deployment, record, name, database, text, stopped_at, sent_s):
+    """Opens a session to the node, and sends its first statement `sent_s` after the SIGTERM."""
+    client = Client(record, name)
+    await asyncio.sleep(max(0.0, stopped_at + OPENED_S - record.now()))
+    ready = await client.open(deployment.client_address(2), database)
+    if not ready.startswith("READY"):
+        return None
+    await asyncio.sleep(max(0.0, stopped_at + sent_s - record.now()))
+    answer = await client.query(text, statement_id=f"{name}-s")
+    client.close()
+    return answer
 
 
 async def play(record):
     deployment = Deployment(record)
-    group = Group(record, "scripdb", deployment.server_addresses(3))
-    until, runs = asyncio.Event(), []
+    done_at = {}
+    group = Group(record, "scripdb", deployment.server_addresses(3), slots=20)
     try:
         platform = await deployment.start_platform([group])
         await group.start()
-        for server in group.servers:
-            server.seq_step = STEP
         deployment.start_all()
         beats = asyncio.create_task(group.beats(deployment.control))
-        routes = [route("rx-order", "orders", "scripdb"),
+        routes = [route("rx-order", "orders", "scripdb", timeout_ms=3000, target_ms=800),
                   route("rx-status", "status", "scripdb", "bounded_staleness", timeout_ms=3000, target_ms=800)]
         if await deployment.configure(configuration(1, routes, ["scripdb"])) != 200:
             return 2
         for index in range(3):
-            if not await deployment.until_serving(index, "status", Client(record, f"warm{index}")):
-                return 2
-        leaving = group.servers[2]
-        work = group.work
-        group.before_answer = note(record, runs, leaving)
-        readers = [asyncio.create_task(read(record, deployment, n, until)) for n in range(12)]
-        await asyncio.sleep(4)
-        # Two calls that are on their way while the server deregisters; they arrive 2 s and 3 s late.
-        leaving.beating = False
-        late = [(address, group.heartbeat(leaving)) for address in deployment.control[:2]]
-        await asyncio.sleep(0.2)
-        status, _, _ = await http(deployment.control[2], "POST", f"/v1/Instances.Deregister/{leaving.name}", {})
-        gone_at = record.add("server", leaving.name, "Deregister ->", status)
-        if status != 200:
-            return 2
+            for database in ("orders", "status"):
+                if not await deployment.until_serving(index, database, Client(record, f"warm{index}{database}")):
+                    return 2
+        await asyncio.sleep(2)
+        stopped_at = record.now()
+        group.work = lambda statement_id, word: max(0.006, stopped_at + DONE_S - record.now()) if statement_id.endswith("-s") else 0.006
+
+        async def note(server, writer, statement_id, text):
+            if statement_id.endswith("-s"):
+                done_at.setdefault(statement_id, record.now() - stopped_at)
+
+        group.before_answer = note
         if TROUBLE:
-            for late_s, (address, body) in zip((2.0, 3.0), late):
-                await asyncio.sleep(max(0.0, gone_at + late_s - record.now()))
-                answer, _, _ = await http(address, "POST", f"/v1/Instances.Heartbeat/{leaving.name}", body)
-                record.add("server", leaving.name, "a late beat", body["call_seq"], "arrives ->", answer)
-        await asyncio.sleep(max(0.0, gone_at + SERVES_ON_S - record.now()))
-        until.set()
-        await asyncio.gather(*readers)
+            deployment.send("node", 2, signal.SIGTERM)
+        wanted = [("orders", "WRITE rx{0} taken{0}", EARLY_SENT_S), ("orders", "WRITE rx{0} taken{0}", LATE_SENT_S),
+                  ("status", "READ rx{0}", EARLY_SENT_S), ("status", "READ rx{0}", LATE_SENT_S)]
+        answers = await asyncio.gather(*(
+            session(deployment, record, f"c{number}", database, text.format(number), stopped_at, sent_s)
+            for number, (database, text, sent_s) in enumerate(wanted * 2)))
+        ended_s = None
+        for _ in range(40):
+            if ended_s is None and deployment.processes["node", 2].poll() is not None:
+                ended_s = record.now() - stopped_at
+                record.add("node 2 has ended by", f"{ended_s:.2f}", "s after SIGTERM")
+            await asyncio.sleep(0.05)
         beats.cancel()
         platform.close()
-        group.work = work
-        late_runs = [at for at in runs if at > gone_at + DRAIN_S]
-        record.add("judge", len(runs), "lookups at", leaving.name, ",", len(late_runs), f"later than {DRAIN_S} s after the acknowledgement")
-        if not runs:
-            return 2
-        return 1 if late_runs else 0
+        return judge(record, answers, done_at, stopped_at)
     finally:
         deployment.end()
 
 
-def note(record, runs, leaving):
-    """Returns a hook that notes when the leaving server runs a client's statement."""
-
-    async def hook(server, writer, statement_id, text):
-        if server is leaving and statement_id != "-":
-            runs.append(record.now())
-
-    return hook
+def judge(record, answers, done_at, stopped_at):
+    """A request counts if it was sent within 3 s and its server answered before the last sixth of the grace."""
+    opened = [answer for answer in answers if answer is not None]
+    broken = 0
+    for answer in opened:
+        sent_s, done_s = answer["sent_at"] - stopped_at, done_at.get(answer["id"])
+        lost = answer["ended"] is not None and done_s is not None and sent_s <= 3.0 and done_s < GRACE_S * 5 / 6
+        broken += lost
+        state = "LOST" if lost else "answered" if answer["ended"] is None else "not counted"
+        record.add("judge", answer["id"], f"sent {sent_s:.2f} s, server done", done_s, state)
+    record.add("judge", f"{broken} of {len(opened)} requests lost")
+    if not opened or not done_at:
+        return 2
+    return 1 if broken else 0
 
 
 def main():
