--- a/review/8/case.py
+++ b/review/8/case.py
@@ -9,12 +9,15 @@
 from deployment import Deployment, configuration, route  # noqa: E402
 from group import Group  # noqa: E402
 from record import Record  # noqa: E402
-from wire import Client  # noqa: E402
+from wire import Client, Closed  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 MEMORY_MB = 260
-SHAPE_BYTES = 32_000
-SESSIONS, CLIENTS = 10_500, 6
+SHAPE_BYTES = 64_000
+SESSIONS, CLIENTS = 15_000, 6
+# "three times in the day [...] on a tenth of the machines in use (two at least)", read as three times on each of two.
+ENDS, MACHINES = 3, 2
+RESTART_S = 0.5
 
 
 def memory_mb(process):
@@ -26,7 +29,7 @@
 
 
 class Quiet:
-    """Notes one session in 500, so that the record stays short."""
+    """Notes nothing, so that the record stays short."""
 
     def __init__(self, record):
         self.record = record
@@ -35,59 +38,63 @@
         return self.record.now()
 
 
-async def sessions(record, deployment, node, first, counts, ended):
+class Node:
+    """A node as the platform sees it: how many sessions it served, and how often it was killed for its memory."""
+
+    def __init__(self):
+        self.served, self.ends = 0, 0
+
+
+async def sessions(record, deployment, index, node, first):
     """One client after another: each prepares a statement, runs it, gives it back and leaves."""
     quiet = Quiet(record)
     for number in range(first, SESSIONS, CLIENTS):
-        if ended.is_set():
+        if node.ends >= ENDS:
             return
         shape = f"q{number if TROUBLE else 0}".ljust(SHAPE_BYTES, "x")
-        client = Client(quiet, f"n{node}c{number}")
-        ready = await client.open(deployment.client_address(node), "status")
-        if not ready.startswith("READY"):
-            return
-        prepared = await client.query(f"PREPARE s1 READ {shape}")
-        answer = await client.query(f"EXECUTE s1 rx{number}")
-        if prepared["complete"] and answer["complete"]:
-            counts[node] += 1
-        if not answer["ended"]:
+        client = Client(quiet, f"n{index}c{number}")
+        try:
+            ready = await client.open(deployment.client_address(index), "status")
+            if not ready.startswith("READY"):
+                raise Closed(ready)
+            prepared = await client.query(f"PREPARE s1 READ {shape}")
+            answer = await client.query(f"EXECUTE s1 rx{number}")
+            if answer["ended"] or prepared["ended"]:
+                raise Closed("the node has ended")
+            node.served += prepared["complete"] is not None and answer["complete"] is not None
             await client.query("DEALLOC s1")
-        client.writer.write(b"RELEASE\r\n")
+            client.writer.write(b"RELEASE\r\n")
+        except (OSError, Closed, asyncio.TimeoutError):
+            await asyncio.sleep(0.2)
         client.close()
 
 
-async def watch(record, deployment, ends, ended):
-    """The platform: "a process that exceeds `memory_mb` is killed"."""
+async def watch(record, deployment, nodes):
+    """The platform: "a process that exceeds `memory_mb` is killed", and "started again after a short delay"."""
     noted = record.now()
     while True:
         await asyncio.sleep(0.05)
         sizes = {}
         for (role, index), process in list(deployment.processes.items()):
-            if process.poll() is None:
-                sizes[role, index] = memory_mb(process)
-                if sizes[role, index] > MEMORY_MB:
-                    record.add("platform kills", role, index, f"at {sizes[role, index]:.0f} MB of {MEMORY_MB}")
-                    process.kill()
-                    process.wait()
-                    ends.append((role, index))
-                    if role == "node":
-                        ended[index].set()
+            if process.poll() is not None:
+                continue
+            sizes[role, index] = memory_mb(process)
+            if role == "node" and sizes[role, index] > MEMORY_MB:
+                record.add("platform kills", role, index, f"at {sizes[role, index]:.0f} MB of {MEMORY_MB}")
+                process.kill()
+                process.wait()
+                nodes[index].ends += 1
+                asyncio.get_running_loop().call_later(RESTART_S, deployment.start, index, role)
         if record.now() - noted > 1:
             noted = record.now()
             record.add("memory, MB:", {f"{role} {index}": round(size) for (role, index), size in sizes.items()})
 
 
-async def load(record, deployment, node, counts, ended):
-    results = await asyncio.gather(
-        *(sessions(record, deployment, node, first, counts, ended) for first in range(CLIENTS)), return_exceptions=True)
-    record.add("node", node, "served", counts[node], "sessions, all have ended", [repr(r) for r in results if r is not None][:1])
-
-
 async def play(record):
     deployment = Deployment(record)
     group = Group(Quiet(record), "scripdb", deployment.server_addresses(3), slots=20)
     group.work = lambda statement_id, word: 0.0005
-    ends, counts, ended = [], [0, 0, 0], [asyncio.Event() for _ in range(3)]
+    nodes = [Node() for _ in range(3)]
     try:
         platform = await deployment.start_platform([group])
         await group.start()
@@ -99,16 +106,21 @@
         for index in range(3):
             if not await deployment.until_serving(index, "status", Client(record, f"warm{index}")):
                 return 2
-        platform_watch = asyncio.create_task(watch(record, deployment, ends, ended))
-        await asyncio.wait([asyncio.create_task(load(record, deployment, n, counts, ended[n])) for n in range(3)], timeout=90)
-        await asyncio.sleep(2)
+        platform_watch = asyncio.create_task(watch(record, deployment, nodes))
+        load = [asyncio.create_task(sessions(record, deployment, index, node, first))
+                for index, node in enumerate(nodes) for first in range(CLIENTS)]
+        await asyncio.wait(load, timeout=95)
+        for task in load:
+            task.cancel()
+        await asyncio.sleep(1)
         platform_watch.cancel()
         beats.cancel()
         platform.close()
-        record.add("judge", counts, "sessions served by the nodes,", len(ends), "processes ended over their memory:", ends)
-        if sum(counts) < 3000:
+        record.add("judge", [node.served for node in nodes], "sessions served by the nodes, killed for their memory:",
+                   [node.ends for node in nodes], "times")
+        if sum(node.served for node in nodes) < 3000:
             return 2
-        return 1 if len(ends) >= 3 and len({index for _, index in ends}) >= 2 else 0
+        return 1 if sum(node.ends >= ENDS for node in nodes) >= MACHINES else 0
     finally:
         deployment.end()
 
