During a handover nodes acknowledge only what the successor has reported to hold

Cause: a handover rested on a list of replicas. It suspended all that nodes know of, so that the old primary could confirm commits with the successor alone. A replica receives and confirms commits from its start; one that nobody has heard of is on no list. Each commit that it alone confirmed between the call to the platform and the moment the successor led was passed on to the client, and the successor lacked it.

Change: every node that may acknowledge commits takes part in a handover before the platform is called (JoinHandover): from its answer on it acknowledges, of what was sent under an older token, only what the successor has reported to hold, and says in doubt once the successor leads without it. A node that was not asked has no lease then; when it gets one its feed shows a token above the assignment's, and under that it acknowledges nothing until it has joined or the assignment is closed. The leases are read from the serving tail alone (a new tail told of none).

Why it works: whichever servers confirm a commit to the old primary, no client is told of it before the successor has it, and the successor's log is cut back by nobody before the platform has seen a higher token.

--- a/crates/capacity/src/idle_sessions.rs
+++ b/crates/capacity/src/idle_sessions.rs
@@ -74,6 +74,7 @@
         primaries: [(group_name(0), primary)].into(),
         route_by_database: Arc::new([(DATABASE.into(), 0)].into()),
         tenants: Arc::default(),
+        ..ClusterState::default()
     });
     proxy.registry.renew_lease(now() + LEASE_MS);
     DirectProxy::new(proxy, Arc::new(StubServers::default()))
--- a/crates/gossip/src/messages.rs
+++ b/crates/gossip/src/messages.rs
@@ -165,6 +165,17 @@
             group: Name,
             /// The fencing token of the promotion that sends the query.
             fence: FencingToken
+        },
+        /// Take part in a handover: from its answer on the receiver acknowledges, of the writes that were sent under a
+        /// lower fencing token, only those that the successor has reported to hold.
+        JoinHandover {
+            /// The group.
+            #[borsh(serialize_with = "compact_name::serialize", deserialize_with = "compact_name::deserialize")]
+            group: Name,
+            /// The fencing token of the handover.
+            fence: FencingToken,
+            /// The server that is to become the primary.
+            successor: Name
         }
     }
 
@@ -216,6 +227,11 @@
             end: Position,
             /// The incarnation of the process. An earlier incarnation may have acknowledged more writes.
             incarnation: u64
+        },
+        /// Whether the node takes part in a handover.
+        JoinedHandover {
+            /// False if it takes part in a later handover of the group.
+            joined: bool
         }
     }
 
--- a/crates/gossip/src/retry_safety.rs
+++ b/crates/gossip/src/retry_safety.rs
@@ -25,9 +25,11 @@
         match self {
             NodeQuery::StoreSession { .. } => RetrySafety::Idempotent(IdempotencyKey::SessionVersion),
             NodeQuery::SuspectPrimary { .. } => RetrySafety::Idempotent(IdempotencyKey::Report),
-            // After the first arrival the node acknowledges no write under a lower fencing token, however often the
+            // What the node acknowledges after the first arrival depends on the fencing token alone, however often the
             // query is repeated.
-            NodeQuery::AcknowledgedEnd { .. } => RetrySafety::Idempotent(IdempotencyKey::Fence),
+            NodeQuery::AcknowledgedEnd { .. } | NodeQuery::JoinHandover { .. } => {
+                RetrySafety::Idempotent(IdempotencyKey::Fence)
+            }
             NodeQuery::FindSession { .. }
             | NodeQuery::SessionDigests { .. }
             | NodeQuery::SessionRange { .. }
--- a/crates/lab/src/cli/flags.rs
+++ b/crates/lab/src/cli/flags.rs
@@ -4,8 +4,16 @@
 use std::str::FromStr;
 
 /// Flags without a value.
-const SWITCHES: &[&str] =
-    &["untimed", "final", "promotion-faults", "direct", "departures", "slow-promoter", "control"];
+const SWITCHES: &[&str] = &[
+    "untimed",
+    "final",
+    "promotion-faults",
+    "direct",
+    "departures",
+    "slow-promoter",
+    "late-joins",
+    "control",
+];
 /// Flags with a value.
 const VALUE_FLAGS: &[&str] = &[
     "shape",
--- a/crates/lab/src/cli/help.rs
+++ b/crates/lab/src/cli/help.rs
@@ -7,7 +7,7 @@
                  [--untimed]
        quincehatch-lab soak [--seeds N] [--from SEED] [--seconds N] [--large-nodes N] [--untimed] [--dir DIR] [--port N]
        quincehatch-lab sim [--seeds N] [--from SEED] [--keepers N] [--nodes N] [--bug NAME]
-                 [--final|--promotion-faults|--direct [--departures] [--slow-promoter]]
+                 [--final|--promotion-faults|--direct [--departures] [--slow-promoter] [--late-joins]]
        quincehatch-lab sim --control [--allow LIST] [--seeds N] [--from SEED] [--bug NAME]
        quincehatch-lab bench overhead|ejection|push|gossip|long-queries|replicas-stalled|faults
                  [--rounds N] [--shape ...]
@@ -22,7 +22,8 @@
               --large-nodes: each tenth seed has so many nodes
   sim         the seeded simulator; a failing seed replays exactly with --from SEED --seeds 1; --direct: servers over
               their own protocol (--departures: they leave while heartbeats are delayed; --slow-promoter: promotions are
-              carried out late); --control: the control plane alone
+              carried out late; --late-joins: servers join before they are heard of); --control: the control plane
+              alone
   bench       measures: ratios, counts, pairs in turn; median and spread
   stand       one stand-in database server
   platform    the platform's stand-in
--- a/crates/lab/src/cli/mod.rs
+++ b/crates/lab/src/cli/mod.rs
@@ -172,6 +172,7 @@
         promotion_faults: flags.has("promotion-faults"),
         departures: flags.has("departures"),
         slow_promoter: flags.has("slow-promoter"),
+        late_joins: flags.has("late-joins"),
         allowed: Allowed::parse(&flags.last_or("allow", ""))?,
     })
 }
--- a/crates/lab/src/cli/simulation.rs
+++ b/crates/lab/src/cli/simulation.rs
@@ -35,6 +35,8 @@
     pub departures: bool,
     /// Whether the promoter of direct servers carries calls out late.
     pub slow_promoter: bool,
+    /// Whether direct servers join at new addresses while their first heartbeats are delayed.
+    pub late_joins: bool,
     /// Faults that the code is known not to tolerate and that are drawn nevertheless.
     pub allowed: Allowed,
 }
--- a/crates/lab/src/simulate/direct.rs
+++ b/crates/lab/src/simulate/direct.rs
@@ -27,6 +27,7 @@
         nodes: options.nodes,
         departures: options.departures,
         slow_promoter: options.slow_promoter,
+        late_joins: options.late_joins,
         bug: options.injected_bug.clone(),
         verbose: options.is_verbose(),
     })
--- a/crates/node/src/feed/cluster_state.rs
+++ b/crates/node/src/feed/cluster_state.rs
@@ -2,10 +2,11 @@
 use super::server_records::publish_server_records;
 use crate::node::Node;
 use quincehatch_config::configuration::Configuration;
-use quincehatch_core::{Name, ServerRecord};
+use quincehatch_core::{FencingToken, Name, ServerRecord};
 use quincehatch_proxy::registry::ClusterState;
 use quincehatch_proxy::tenants::TenantDirectory;
 use quincehatch_store::FeedState;
+use quincehatch_store::store::promotion_role_key;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
@@ -27,8 +28,9 @@
 pub fn cluster_state_from(applied: &FeedState, previous: &ClusterState) -> ClusterState {
     let (number, version) = (applied.last_change, applied.configuration_version);
     let primaries = applied.primaries.clone();
+    let pending_promotions = pending_promotions(applied);
     if previous.version == version {
-        return ClusterState { number, version, primaries, ..previous.clone() };
+        return ClusterState { number, version, primaries, pending_promotions, ..previous.clone() };
     }
     let configuration = Configuration::parse_stored(&applied.configuration_json)
         .map_err(|error| log::error!(target: "feed", "cannot parse configuration version {version}: {error}"))
@@ -46,11 +48,19 @@
         version,
         configuration: configuration.map(Arc::new),
         primaries,
+        pending_promotions,
         route_by_database: Arc::new(route_by_database),
         tenants: Arc::new(tenants),
     }
 }
 
+/// Returns the newest token of each group whose assignment has an older one.
+fn pending_promotions(applied: &FeedState) -> BTreeMap<Name, FencingToken> {
+    let newest = |group: &Name| applied.fence(&promotion_role_key(group));
+    let pending = applied.primaries.iter().filter(|(group, primary)| newest(group) > primary.fence);
+    pending.map(|(group, _)| (group.clone(), newest(group))).collect()
+}
+
 /// Maps each database that a route names to the index of that route; the last route wins if several name it.
 fn route_by_database(configuration: &Configuration) -> HashMap<Name, usize> {
     let mut routes = HashMap::new();
--- a/crates/node/src/peer_service/queries.rs
+++ b/crates/node/src/peer_service/queries.rs
@@ -2,6 +2,7 @@
 use crate::node::Node;
 use crate::operator;
 use crate::promotion::evidence::observe_server;
+use crate::promotion::handover_participant;
 use quincehatch_core::Name;
 use quincehatch_gossip::session_replicas::OwnerPair;
 use quincehatch_gossip::{NodeQuery, NodeReply, SessionVersion};
@@ -30,6 +31,9 @@
             end: node.proxy.registry.seal_acknowledged(&group, fence),
             incarnation: node.promotion_state.incarnation.0,
         },
+        NodeQuery::JoinHandover { group, fence, successor } => {
+            handover_participant::join(node, &group, fence, &successor)
+        }
         NodeQuery::Report { what, key } => {
             NodeReply::Report { json: operator::local_report(node, &what, &key).to_string() }
         }
--- a/crates/node/src/promotion.rs
+++ b/crates/node/src/promotion.rs
@@ -17,5 +17,6 @@
 mod suspicion;
 mod voter_sets;
 
+pub(crate) use direct::handover_participant;
 pub use duty::run as run_duty;
 pub use state::PromotionState;
--- a/crates/node/src/promotion/direct.rs
+++ b/crates/node/src/promotion/direct.rs
@@ -6,6 +6,8 @@
 mod commit_holders;
 mod group_state;
 mod handover;
+pub(crate) mod handover_participant;
+mod handover_participants;
 mod initial_primary;
 mod launch;
 mod polling;
--- a/crates/node/src/promotion/direct/handover.rs
+++ b/crates/node/src/promotion/direct/handover.rs
@@ -1,6 +1,7 @@
 //! A planned handover in a direct group with sync replicas: the old primary serves until its successor is promoted, so
 //! requests are queued only while the new assignment is written.
 use super::super::fence::{FenceOutcome, FenceRequest, acquire_fence};
+use super::handover_participants::all_nodes_join;
 use super::repair::Restoration;
 use super::server_calls::{query_status, suspend};
 use crate::node::Node;
@@ -25,14 +26,21 @@
 /// succeed. The old primary is then either unchanged, or no longer the primary, in which case it is replaced like a
 /// failed one.
 ///
-/// All replicas but the successor are suspended first. From then on nothing is acknowledged that the successor has not
-/// received. So once the successor has received what the primary had at that moment, it has all acknowledged commits,
-/// whenever it takes over. A call to the platform that is not answered may be carried out at any later time, until the
-/// platform has seen a higher token. So the other replicas stay suspended until the assignment is closed: the promotion that
-/// follows a failed handover closes it and resumes them at its end. If this node stops before that, the token that it
-/// acquired keeps others from resuming them ([`is_token_unused`]). No node sends requests to the successor before it is assigned, so nothing is acknowledged
-/// that a read at the old primary could miss. The successor is assigned only after the old primary's assignment is
-/// closed at every node.
+/// At every moment, whichever server a call to the platform may still promote holds each commit that a client was told
+/// of, or may yet be told of:
+/// - Every node that may acknowledge commits takes part before the call, and from then on acknowledges only what the
+///   successor has reported to hold ([`all_nodes_join`]). So it does not matter which servers confirm a commit to the old
+///   primary: one that is not registered yet, or a replica that was suspended and has restarted.
+/// - What was acknowledged before that is in the old primary's log, and the successor has received that log up to its end
+///   at that moment before the call.
+/// - A call that is not answered may be carried out at any later time, until the platform has seen a higher token. Until
+///   the assignment is closed the nodes acknowledge as before, also if this node stops; the promotion that follows closes
+///   it. No other handover begins under an assignment for which a token was issued ([`is_token_unused`]).
+///
+/// The other replicas are suspended so that the old primary confirms few commits that the successor lacks; these are in
+/// doubt when it leads. No node sends requests to the successor before it is assigned, so nothing is acknowledged that a
+/// read at the old primary could miss. The successor is assigned only after the old primary's assignment is closed at
+/// every node.
 pub(super) async fn hand_over(node: &Arc<Node>, plan: &PromotionPlan) -> bool {
     let (Some(old_primary), Some(group), Some(ports)) = (&plan.old_primary, &plan.sync_group, &node.ports)
     else {
@@ -121,6 +129,9 @@
 impl Handover<'_> {
     async fn promote_successor(&self, ports: &ServerPorts) -> bool {
         let (node, plan) = (self.node, self.plan);
+        if !all_nodes_join(node, &plan.group, self.fence, &self.successor).await {
+            return false;
+        }
         let suspensions = self.other_replicas.iter().map(|other| suspend(node, other, &plan.servers));
         let suspended = seam::join_all(suspensions).await;
         let ready = suspended.iter().all(Option::is_some) && self.successor_caught_up().await;
@@ -132,7 +143,7 @@
         let call = ports.promoter.promote(group, self.successor.clone(), coordinator, self.fence);
         let outcome = seam::timeout(PLATFORM_TIMEOUT, call).await;
         seam::trace_point("handover: the promotion is requested");
-        // Without an answer the assignment is closed at once: a suspended replica that restarts receives again.
+        // Without an answer the assignment is closed at once: the call may be carried out late.
         outcome == Ok(PromotionOutcome::Done) && self.successor_is_primary().await
     }
 
--- a/crates/node/src/promotion/direct/processes.rs
+++ b/crates/node/src/promotion/direct/processes.rs
@@ -70,11 +70,14 @@
     ActiveProcesses { incarnations, complete }
 }
 
-/// Returns the nodes that hold leases; `None` if the tail does not answer.
+/// Returns the nodes that hold leases; `None` if no keeper answers that serves as the tail. Any other keeper knows of no
+/// leases.
 pub(super) async fn lease_holders(node: &Node) -> Option<BTreeSet<Name>> {
     let tail = node.store_client.tail_address();
     match node.store_client.call(&tail, Request::Status, LEASES_TIMEOUT).await {
-        Ok(Reply::Status { status }) => Some(status.leases.into_iter().map(|lease| lease.node).collect()),
+        Ok(Reply::Status { status }) if status.serving => {
+            Some(status.leases.into_iter().map(|lease| lease.node).collect())
+        }
         _ => None,
     }
 }
--- a/crates/proxy/src/direct/mod.rs
+++ b/crates/proxy/src/direct/mod.rs
@@ -2,9 +2,10 @@
 //! one server connection from its first statement to its end.
 //!
 //! From the bottom up: `command`, `response` and `route` define data types; `connection` and `pool` do not depend on
-//! health or routing; `monitored_call`, `connection_setup` and `check_out` add both; `statement` and `replies` are
-//! shared by the ways in which a statement can run: `primary_statement`, `replica_read` (both hedged by
+//! health or routing; `monitored_call`, `connection_setup` and `check_out` add both; `statement`, `replies` and
+//! `acknowledgement` are shared by the ways in which a statement can run: `primary_statement`, `replica_read` (both hedged by
 //! `single_statement`) and `transaction`, which `begin` opens. `session` combines them.
+mod acknowledgement;
 mod begin;
 pub mod check_out;
 pub mod command;
--- a/crates/proxy/src/direct/primary_statement.rs
+++ b/crates/proxy/src/direct/primary_statement.rs
@@ -1,11 +1,12 @@
 //! Statements on the primary: writes, and reads of routes that only the primary may serve.
+use super::acknowledgement::commit_response;
 use super::check_out::{CheckoutRequest, check_out};
 use super::connection::ConnectionError;
 use super::monitored_call::CallContext;
 use super::pool::Checkout;
 use super::replies::{
-    RETRY_AFTER_REJECTION, commit_response, in_doubt_error, leaves_idle, record_primary_position,
-    reject_reason, rejection_error, unanswered_error, was_not_run,
+    RETRY_AFTER_REJECTION, in_doubt_error, leaves_idle, record_primary_position, reject_reason,
+    rejection_error, unanswered_error, was_not_run,
 };
 use super::response::StatementResponse;
 use super::retry::Backoff;
@@ -14,7 +15,7 @@
 use super::statement::{Execution, SingleStatement, StatementAttempt};
 use crate::ports::{RejectReason, ServerReply, TransactionState};
 use crate::registry::ServerEntry;
-use quincehatch_core::{Error, ErrorCode, FencingToken};
+use quincehatch_core::{Error, ErrorCode, FencingToken, Millis};
 use quincehatch_runtime::{now, seam};
 
 /// The result of one attempt.
@@ -95,7 +96,8 @@
             if leaves_idle(&reply) {
                 checkout.check_in();
             }
-            handle_reply(run, &server, fence, reply)
+            let sent = SentStatement { server: &server, fence, finish_by: deadlines.finish_by };
+            handle_reply(run, sent, reply).await
         }
         StatementAttempt::NotSent(error) => {
             Attempt::Disconnected { error: unanswered_error(&error), checkout }
@@ -104,20 +106,23 @@
     }
 }
 
-fn handle_reply(
-    run: SingleStatement<'_>,
-    server: &ServerEntry,
+/// What a statement was sent to, under which fence, and when its client must have the response.
+struct SentStatement<'a> {
+    server: &'a ServerEntry,
     fence: FencingToken,
-    reply: ServerReply,
-) -> Attempt {
+    finish_by: Millis,
+}
+
+async fn handle_reply(run: SingleStatement<'_>, sent: SentStatement<'_>, reply: ServerReply) -> Attempt {
     if let Some(reason) = reject_reason(&reply).filter(|reason| was_not_run(*reason)) {
         if reason == RejectReason::NotPrimary {
-            server.record_not_primary(now());
+            sent.server.record_not_primary(now());
         }
         return Attempt::Rejected(rejection_error(reason));
     }
     if run.statement.write {
-        return Attempt::Finished(commit_response(run.direct, run.route, fence, reply));
+        let response = commit_response(run.direct, run.route, sent.fence, reply, sent.finish_by).await;
+        return Attempt::Finished(response);
     }
     Attempt::Finished(StatementResponse::from_reply(reply, TransactionState::Idle))
 }
--- a/crates/proxy/src/direct/replies.rs
+++ b/crates/proxy/src/direct/replies.rs
@@ -1,12 +1,11 @@
 //! Interprets server replies and missing replies: the client's response or error, and what the proxy records.
 use super::DirectProxy;
 use super::connection::ConnectionError;
-use super::response::StatementResponse;
 use super::route::ResolvedRoute;
 use super::server_choice::fence_if_primary;
 use crate::ports::{RejectReason, ServerReply, TransactionState};
 use crate::registry::ServerEntry;
-use quincehatch_core::{Error, ErrorCode, FencingToken, Millis};
+use quincehatch_core::{Error, ErrorCode, Millis};
 
 /// When a client may retry after a rejection by a server, or if no attempt could be started in time.
 pub(super) const RETRY_AFTER_REJECTION: Millis = 100;
@@ -52,28 +51,6 @@
     }
 }
 
-/// Returns the response to a write or commit that was sent under `fence`.
-///
-/// It is reported as committed only if the node that chooses the next primary can still learn its position; else its
-/// outcome is unknown.
-pub(super) fn commit_response(
-    direct: &DirectProxy,
-    route: &ResolvedRoute,
-    fence: FencingToken,
-    reply: ServerReply,
-) -> StatementResponse {
-    let registry = &direct.proxy.registry;
-    let acknowledged = reply.rejection.is_some()
-        || reply.log_end.is_some_and(|end| registry.record_acknowledged(&route.group, fence, end));
-    if acknowledged {
-        return StatementResponse::from_reply(reply, TransactionState::Idle);
-    }
-    let error = ErrorCode::Unknown
-        .with_detail("a new primary is being chosen, and the commit may be lost")
-        .with_unknown_outcome();
-    StatementResponse::failed(error, TransactionState::Idle)
-}
-
 /// Returns the error of a statement that got no reply and cannot have committed anything.
 pub(super) fn unanswered_error(error: &ConnectionError) -> Error {
     match error {
--- a/crates/proxy/src/direct/transaction.rs
+++ b/crates/proxy/src/direct/transaction.rs
@@ -1,10 +1,11 @@
 //! A transaction that is open at a server, which uses one connection from its first statement to its end.
 use super::DirectProxy;
+use super::acknowledgement::commit_response;
 use super::connection::SessionSettings;
 use super::monitored_call::{CallContext, PrimaryTerm};
 use super::pool::Checkout;
 use super::replies::{
-    commit_response, in_doubt_error, leaves_idle, record_primary_position, reject_reason, transaction_lost,
+    in_doubt_error, leaves_idle, record_primary_position, reject_reason, transaction_lost,
     transaction_lost_by, was_not_run,
 };
 use super::response::StatementResponse;
@@ -102,12 +103,17 @@
                 backoff.pause().await;
                 continue;
             }
-            return self.commit_reply_response(direct, reply);
+            return self.commit_reply_response(direct, reply, deadlines.finish_by).await;
         }
     }
 
     /// Returns the response to a commit that got `reply`.
-    fn commit_reply_response(self, direct: &DirectProxy, reply: ServerReply) -> StatementResponse {
+    async fn commit_reply_response(
+        self,
+        direct: &DirectProxy,
+        reply: ServerReply,
+        finish_by: Millis,
+    ) -> StatementResponse {
         if leaves_idle(&reply) {
             self.checkout.check_in();
         }
@@ -118,7 +124,7 @@
             return StatementResponse::failed(error, TransactionState::Idle);
         }
         if self.wrote {
-            return commit_response(direct, &self.route, self.fence, reply);
+            return commit_response(direct, &self.route, self.fence, reply, finish_by).await;
         }
         StatementResponse::from_reply(reply, TransactionState::Idle)
     }
--- a/crates/proxy/src/routing/registry.rs
+++ b/crates/proxy/src/routing/registry.rs
@@ -10,9 +10,7 @@
 use crate::staleness::PrimaryPositions;
 use quincehatch_config::configuration::{Configuration, HealthSettings, Placement, default_health_settings};
 use quincehatch_core::name_table::NameTable;
-use quincehatch_core::{
-    FencingToken, Millis, Name, Position, PrimaryAssignment, ServerHeartbeat, ServerState,
-};
+use quincehatch_core::{Millis, Name, PrimaryAssignment, ServerHeartbeat, ServerState};
 use quincehatch_runtime::now;
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -28,13 +26,17 @@
     names: RwLock<NameTable>,
     servers: RwLock<Vec<Arc<ServerEntry>>>,
     cluster_state: Latest<ClusterState>,
-    primary_positions: Mutex<BTreeMap<Name, PrimaryPositions>>,
+    pub(super) primary_positions: Mutex<BTreeMap<Name, PrimaryPositions>>,
     lease: NodeLease,
-    acknowledged: AcknowledgedPositions,
+    pub(super) acknowledged: AcknowledgedPositions,
     /// The transactions and writes in flight, and the requests that wait for a primary.
     pub in_flight: InFlightCounts,
     /// Notified when a new cluster state has been applied.
     pub changed: Notify,
+    /// Notified when a commit waits for the successor of a handover.
+    pub commit_pending: Notify,
+    /// Notified when the successor of a handover has reported what it received.
+    pub successor_reported: Notify,
     /// Whether the node is shutting down and accepts no new work.
     pub stopping: AtomicBool,
     /// Whether an operator drained the node, so that the platform sends no more clients here.
@@ -191,57 +193,3 @@
         self.servers().iter().map(|server| server.heartbeat.read().unwrap().clone()).collect()
     }
 }
-
-/// The observed positions of primaries, and the acknowledged positions.
-impl Registry {
-    /// Records that the group's primary was observed at `position` by a request that was sent at `queried_at`.
-    ///
-    /// The observation stays valid when another server has become primary: no other server acknowledges a commit while
-    /// this node holds its lease and has not applied the change. Without a lease another one may, so the observation is
-    /// ignored.
-    pub fn record_primary_position(&self, group: &str, queried_at: Millis, position: Position) {
-        if self.has_lease() {
-            self.with_primary_positions(group, |positions| positions.record(queried_at, position));
-        }
-    }
-
-    /// Returns the lowest position that proves a read of the group to be at most `max_staleness` behind.
-    pub fn required_position(&self, group: &str, max_staleness: Millis) -> Option<Position> {
-        self.with_primary_positions(group, |positions| positions.required_at(now(), max_staleness))
-    }
-
-    /// Calls `access` with the observed positions of the group's primary.
-    pub fn with_primary_positions<T>(
-        &self,
-        group: &str,
-        access: impl FnOnce(&mut PrimaryPositions) -> T,
-    ) -> T {
-        let mut by_group = self.primary_positions.lock().unwrap();
-        access(by_group.entry(group.into()).or_default())
-    }
-
-    /// Records that a commit that was sent under `fence` and ends at `end` is about to be acknowledged.
-    ///
-    /// Returns false if the commit must not be acknowledged because it may be lost: the acknowledged position was
-    /// already reported for the choice of another primary, or the primary may be demoted. A late message of an earlier
-    /// demotion may resume servers that are suspended for a demotion. A commit that is acknowledged before the demotion
-    /// was on a replica before it.
-    #[must_use]
-    pub fn record_acknowledged(&self, group: &str, fence: FencingToken, end: Position) -> bool {
-        self.acknowledged.record(group, fence, end, || {
-            let has_newer_fence = || self.primary(group).is_some_and(|primary| primary.fence > fence);
-            self.has_lease() && !has_newer_fence()
-        })
-    }
-
-    /// Returns the highest position that this process has acknowledged for the group.
-    pub fn acknowledged_end(&self, group: &str) -> Position {
-        self.acknowledged.end(group)
-    }
-
-    /// Returns the highest position that this process has acknowledged for the group. From then on, it acknowledges no
-    /// commit that was sent under a lower fence than `fence`.
-    pub fn seal_acknowledged(&self, group: &str, fence: FencingToken) -> Position {
-        self.acknowledged.seal(group, fence)
-    }
-}
--- a/crates/proxy/tests/fake_servers/fixture.rs
+++ b/crates/proxy/tests/fake_servers/fixture.rs
@@ -77,6 +77,7 @@
             primaries: [(GROUP.into(), assignment)].into(),
             route_by_database: Arc::new([("orders".into(), 0), ("lookups".into(), 1)].into()),
             tenants: Arc::default(),
+            ..ClusterState::default()
         });
     }
 
--- a/crates/simulator/src/direct/faults.rs
+++ b/crates/simulator/src/direct/faults.rs
@@ -135,7 +135,10 @@
     pub(super) fn faultable_processes(&self) -> Vec<ProcessId> {
         let mut all = self.keepers.clone();
         all.extend(self.nodes.iter().map(|node| node.pid));
-        self.group.with(|state| all.extend(state.servers.iter().map(|server| server.pid)));
+        self.group.with(|state| {
+            let present = state.servers.iter().filter(|server| !server.is_absent);
+            all.extend(present.map(|server| server.pid));
+        });
         all
     }
 
--- a/crates/simulator/src/direct/mod.rs
+++ b/crates/simulator/src/direct/mod.rs
@@ -10,6 +10,7 @@
 mod departures;
 mod fault_injection;
 mod faults;
+mod late_joins;
 mod ledger;
 mod operator;
 mod process_control;
--- a/crates/simulator/src/direct/operator.rs
+++ b/crates/simulator/src/direct/operator.rs
@@ -4,7 +4,7 @@
 use super::server::{MAX_CONNECTIONS, Registration, SLOTS};
 use super::server_group::GroupState;
 use super::session_task::TRANSACTION_IDLE_MS;
-use super::setup::{DirectFleet, GROUP, SERVERS};
+use super::setup::{DirectFleet, GROUP};
 use super::version_check::check_config_versions;
 use quincehatch_core::{Millis, Name, Role, ServerRecord};
 use quincehatch_node::store_client::StoreClient;
@@ -72,8 +72,11 @@
 impl GroupState {
     /// Returns the registration that a server has to send, with its record, or `None` if its current registration is
     /// acknowledged.
-    fn next_registration(&mut self, index: usize) -> Option<(Registration, ServerRecord)> {
+    fn next_registration(&mut self, index: usize, now: Millis) -> Option<(Registration, ServerRecord)> {
         let server = &self.servers[index];
+        if server.is_absent || now < server.registers_from {
+            return None;
+        }
         let registration = server.registration();
         if server.registered_as.as_ref() == Some(&registration) {
             return None;
@@ -133,7 +136,7 @@
         if !fleet.simulation.lock().is_running(pid) {
             continue;
         }
-        let next = fleet.group.with(|state| state.next_registration(index));
+        let next = fleet.group.with(|state| state.next_registration(index, fleet.simulation.now()));
         let Some((registration, at)) = next else { continue };
         let key = format!("beat/{}/{}", at.server, at.seq);
         if client.write(&key, Command::RegisterServer { at }, WRITE_TIMEOUT).await.is_ok() {
@@ -195,7 +198,7 @@
 /// Starts the tasks that register servers, adopt configurations and check the versions in force. The caller runs this
 /// in the clients' process.
 pub fn start(fleet: &Arc<DirectFleet>, stop: &Arc<AtomicBool>) {
-    for index in 0..SERVERS {
+    for index in 0..fleet.group.with(|state| state.servers.len()) {
         seam::spawn(register_server_changes(fleet.clone(), index));
     }
     seam::spawn(adopt_configurations(fleet.clone(), stop.clone()));
--- a/crates/simulator/src/direct/process_control.rs
+++ b/crates/simulator/src/direct/process_control.rs
@@ -1,5 +1,5 @@
 //! Crashes and starts the processes of a fleet on direct connections, and ends all faults.
-use super::setup::{DirectFleet, SERVERS};
+use super::setup::DirectFleet;
 use crate::fleet::simulation::ProcessId;
 use quincehatch_core::Millis;
 use std::sync::Arc;
@@ -88,7 +88,7 @@
         self.group.with(|state| {
             state.promoter_delay = 0;
             state.next_interruption = None;
-            for server in state.servers.iter_mut().take(SERVERS) {
+            for server in &mut state.servers {
                 server.replication_stopped = false;
                 server.replication_lag = HEALTHY_LAG;
                 server.extra_latency = 0;
--- a/crates/simulator/src/direct/replication.rs
+++ b/crates/simulator/src/direct/replication.rs
@@ -58,7 +58,27 @@
     }
 
     fn send_append(self: &Arc<Self>, simulation: &Arc<Simulation>, primary: ProcessId, append: Append) {
-        let replica = self.with(|state| state.servers[append.replica].pid);
+        let (replica, delay) = self.with(|state| {
+            let replica = &state.servers[append.replica];
+            (replica.pid, replica.receive_delay)
+        });
+        let group = self.clone();
+        if delay > 0 {
+            let at = simulation.now() + delay;
+            return simulation.schedule_action(at, move |simulation| {
+                group.deliver_append(simulation, primary, replica, append)
+            });
+        }
+        self.deliver_append(simulation, primary, replica, append);
+    }
+
+    fn deliver_append(
+        self: &Arc<Self>,
+        simulation: &Arc<Simulation>,
+        primary: ProcessId,
+        replica: ProcessId,
+        append: Append,
+    ) {
         let group = self.clone();
         deliver(simulation, primary, replica, move |simulation, delivery| {
             if delivery != Delivery::Arrived {
@@ -133,7 +153,7 @@
         let mut appends = Vec::new();
         for (replica, server) in self.servers.iter().enumerate() {
             let after = server.common_prefix(log);
-            if replica != primary && server.role == Role::Replica && after < log.len() {
+            if replica != primary && !server.is_absent && server.role == Role::Replica && after < log.len() {
                 appends.push(Append { primary, term, replica, after, entries: log[after..].to_vec() });
             }
         }
--- a/crates/simulator/src/direct/run.rs
+++ b/crates/simulator/src/direct/run.rs
@@ -46,6 +46,8 @@
     pub departures: bool,
     /// Whether the promoter carries calls out late, while the server that it is called for receives nothing.
     pub slow_promoter: bool,
+    /// Whether servers also join at new addresses while their first heartbeats are delayed.
+    pub late_joins: bool,
     /// Name of a deliberate bug to enable.
     pub bug: Option<String>,
     /// Whether to print the trace.
@@ -67,6 +69,9 @@
 pub fn run_seed(options: &DirectSimOptions) -> DirectReport {
     let size = FleetSize { keepers: options.keepers, nodes: options.nodes };
     let fleet = build_fleet(options.seed, &size, options.bug.as_deref(), options.verbose);
+    if options.late_joins {
+        fleet.add_joining_servers();
+    }
     let simulation = &fleet.simulation;
     let stop = Arc::new(AtomicBool::new(false));
     simulation.run_in(fleet.clients, || {
@@ -83,6 +88,9 @@
     if options.slow_promoter {
         fleet.schedule_slow_promoter(FAULTS_START);
     }
+    if options.late_joins {
+        fleet.schedule_late_joins(FAULTS_START);
+    }
     simulation.run_until(FAULTS_START + FAULT_PERIOD);
     fleet.heal_all();
     let healed_at = simulation.now();
--- a/crates/simulator/src/direct/server.rs
+++ b/crates/simulator/src/direct/server.rs
@@ -84,6 +84,8 @@
     pub pending_commits: Vec<PendingCommit>,
     /// Whether the server receives no log entries from its primary.
     pub replication_stopped: bool,
+    /// Additional delay until the server receives log entries.
+    pub receive_delay: Millis,
     /// Additional delay until reads see received entries.
     pub replication_lag: Millis,
     /// Additional execution time of each request.
@@ -98,6 +100,10 @@
     pub drain_acknowledged_at: Option<Millis>,
     /// Sequence number of the newest registration.
     pub registration_sequence: u64,
+    /// The server's heartbeats arrive from this time on.
+    pub registers_from: Millis,
+    /// Whether the server has not joined the group yet.
+    pub is_absent: bool,
     /// The last acknowledged registration.
     pub registered_as: Option<Registration>,
 }
--- a/crates/simulator/tests/direct_sim.rs
+++ b/crates/simulator/tests/direct_sim.rs
@@ -6,8 +6,16 @@
 const SEEDS: u64 = 300;
 
 fn options(seed: u64) -> DirectSimOptions {
-    let (departures, slow_promoter) = (false, false);
-    DirectSimOptions { seed, keepers: 3, nodes: 5, departures, slow_promoter, bug: None, verbose: false }
+    DirectSimOptions {
+        seed,
+        keepers: 3,
+        nodes: 5,
+        departures: false,
+        slow_promoter: false,
+        late_joins: false,
+        bug: None,
+        verbose: false,
+    }
 }
 
 fn run_one(seed: u64, bug: Option<&str>) -> DirectReport {
@@ -47,6 +55,14 @@
     }
 }
 
+/// Guards against the loss of acknowledged commits that only a server had confirmed which no node had heard of yet.
+#[test]
+fn fleets_have_no_violation_when_servers_join_before_they_are_heard_of() {
+    for seed in 1..=24 {
+        assert_no_violation(&run_seed(&DirectSimOptions { late_joins: true, ..options(seed) }));
+    }
+}
+
 /// Seeds with which a violation was found and fixed: work at a primary that had left long before while no other primary
 /// was available, a promotion by a plan that predated another promotion, an acknowledgement that arrived after a close,
 /// three concurrent promoters, a successor that received log entries before it was registered in the replicated store,
--- a/crates/simulator/tests/held/fleet.rs
+++ b/crates/simulator/tests/held/fleet.rs
@@ -3,6 +3,7 @@
 use quincehatch_config::settings::NodeSettings;
 use quincehatch_core::{Name, PrimaryAssignment, Role, ServerRecord};
 use quincehatch_node::{Node, peer_service};
+use quincehatch_proxy::routing::acknowledged::{Acknowledgement, Commit};
 use quincehatch_runtime::seam;
 use quincehatch_simulator::addresses;
 use quincehatch_simulator::fleet::keeper_group::KeeperGroup;
@@ -145,7 +146,8 @@
                         let Some(end) = group.with(|s| s.commit(&server)) else { continue };
                         // The acknowledgement reaches the node with a delay.
                         seam::sleep(Duration::from_millis(5)).await;
-                        if node.proxy.registry.record_acknowledged("g", assignment.fence, end) {
+                        let commit = Commit { fence: assignment.fence, end };
+                        if node.proxy.registry.acknowledge("g", &commit) == Acknowledgement::Granted {
                             group.with(|s| s.acknowledged = s.acknowledged.max(end));
                         }
                     }
