A server counts as promoted only once the platform has accepted the promotion's own call

Cause: a promotion took a server that reported to be the primary for promoted under its own token, also when its call had no answer. The server led by a call of an earlier promotion; the platform had not seen the newer token, and carried out a call between the two for a third server, which lacked what had been committed since.

Change: the promotion repeats its call under its token until the platform has accepted or rejected it, for 8 s; an answer may take 10 s (900 ms before). Then the platform has seen the token and carries out no lower one. A call that was accepted before may take effect some hundred ms later: where calls of earlier promotions may be open, the server must still lead the same term 1.5 s later. A first promotion under an assignment that was completed does not wait.

Why it works: no server is named, so nothing is acknowledged there, before every earlier call is carried out or rejected.

--- a/crates/failover/src/promotion/plan.rs
+++ b/crates/failover/src/promotion/plan.rs
@@ -21,6 +21,8 @@
     pub servers: Vec<Name>,
     /// The number of servers in the group; before the first assignment a majority of them must be fenced.
     pub server_count: usize,
+    /// Whether calls of earlier promotions may be open at the platform, for which it promotes other servers.
+    pub earlier_calls: bool,
     /// Whether the old primary still works: it is drained first, and another server is preferred to it.
     pub planned: bool,
     /// The server that an operator prefers.
--- a/crates/failover/tests/promotion.rs
+++ b/crates/failover/tests/promotion.rs
@@ -19,6 +19,7 @@
         servers: names(servers),
         server_count: 3,
         planned: false,
+        earlier_calls: false,
         preferred: None,
         voters: names(voters),
         sync_group: None,
--- a/crates/failover/tests/unlisted_replica.rs
+++ b/crates/failover/tests/unlisted_replica.rs
@@ -44,6 +44,7 @@
         servers: names(&["lead", "r0", "r1"]),
         server_count: 3,
         planned,
+        earlier_calls: false,
         preferred: None,
         voters: names(&["lead", "r0", "r1"]),
         sync_group: Some(sync_group(&["r0", "r1"])),
--- a/crates/node/src/promotion/direct.rs
+++ b/crates/node/src/promotion/direct.rs
@@ -10,6 +10,7 @@
 mod handover_participants;
 mod initial_primary;
 mod launch;
+mod platform_calls;
 mod polling;
 mod probation;
 mod processes;
@@ -24,9 +25,8 @@
 pub use processes::KnownProcesses;
 pub use server_statuses::ServerStatuses;
 
-pub(super) use actions::{
-    await_caught_up_replica, list_servers, promote_server, query_acknowledged, suspend_for_promotion,
-};
+pub(super) use actions::{await_caught_up_replica, list_servers, query_acknowledged, suspend_for_promotion};
 pub(crate) use commit_evidence::find_awaited_evidence;
+pub(super) use platform_calls::promote_server;
 pub(super) use probation::probe_ejected_servers;
 pub(super) use supervision::supervise_group;
--- a/crates/node/src/promotion/direct/actions.rs
+++ b/crates/node/src/promotion/direct/actions.rs
@@ -1,20 +1,13 @@
-//! Actions of a promotion that call direct servers, the platform or other nodes.
+//! Actions of a promotion that call direct servers or other nodes.
 use super::acknowledged::gather_acknowledged;
 use super::commit_holders::known_servers;
 use super::launch::listed_servers;
-use super::repair::Restoration;
 use super::server_calls::{query_status, suspend};
 use crate::node::Node;
-use quincehatch_core::{FencingToken, Millis, Name, Role};
+use quincehatch_core::{FencingToken, Name};
 use quincehatch_failover::promotion::{PromotionEvent, PromotionPlan};
-use quincehatch_proxy::ports::PromotionOutcome;
-use quincehatch_runtime::{now, seam};
+use quincehatch_runtime::seam;
 use std::sync::Arc;
-use std::time::Duration;
-
-/// The time that a server has to become the primary after the request to the platform; then the request is repeated.
-const PROMOTE_TIMEOUT: Millis = 1_200;
-const STATUS_INTERVAL: Duration = Duration::from_millis(60);
 
 /// Suspends a server's log, so that it receives nothing more.
 pub(crate) async fn suspend_for_promotion(node: &Node, plan: &PromotionPlan, server: Name) -> PromotionEvent {
@@ -25,36 +18,6 @@
     }
 }
 
-/// Requests the platform to promote a server, and waits until the server is the primary: until then it rejects all
-/// requests.
-pub(crate) async fn promote_server(
-    node: &Arc<Node>,
-    plan: &PromotionPlan,
-    server: Name,
-    fence: FencingToken,
-) -> PromotionEvent {
-    let Some(ports) = &node.ports else { return PromotionEvent::ServerNotPromoted(server) };
-    let (group, coordinator) = (plan.group.clone(), plan.coordinator.clone());
-    let outcome = ports.promoter.promote(group, server.clone(), coordinator, fence).await;
-    if outcome == PromotionOutcome::Rejected {
-        return PromotionEvent::Superseded;
-    }
-    let deadline = now() + PROMOTE_TIMEOUT;
-    while now() < deadline {
-        let status = query_status(node, &server).await;
-        if let Some(status) = status.filter(|status| status.role == Role::Primary) {
-            let restoration = Restoration::new(plan.group.clone(), fence, status.term);
-            let others = known_servers(node, &plan.group).into_iter().filter(|other| other.name != server);
-            for other in others {
-                seam::spawn(restoration.clone().run(node.clone(), other.name.clone()));
-            }
-            return PromotionEvent::ServerPromoted(server);
-        }
-        seam::sleep(STATUS_INTERVAL).await;
-    }
-    PromotionEvent::ServerNotPromoted(server)
-}
-
 /// Returns `Drained`, with which a planned promotion proceeds, once no requests are in flight according to `counted`
 /// and a server that is not draining has received all that the old primary has.
 pub(crate) async fn await_caught_up_replica(
--- a/crates/node/src/promotion/direct/handover.rs
+++ b/crates/node/src/promotion/direct/handover.rs
@@ -22,8 +22,21 @@
 const PLATFORM_TIMEOUT: Duration = Duration::from_millis(500);
 const STATUS_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Hands the group's primary role over to a successor. Returns false if the handover could not begin or did not
-/// succeed. The old primary is then either unchanged, or no longer the primary, in which case it is replaced like a
+/// How a handover ended.
+pub(super) enum HandoverOutcome {
+    /// The successor is assigned.
+    Done,
+    /// The handover could not begin or did not succeed. The old primary is either unchanged, or no longer the primary.
+    Abandoned {
+        /// Whether the platform was requested to promote the successor, which it may still do.
+        platform_called: bool,
+    },
+}
+
+/// The outcome of a handover that has not called the platform.
+const NOT_BEGUN: HandoverOutcome = HandoverOutcome::Abandoned { platform_called: false };
+
+/// Hands the group's primary role over to a successor. If that does not succeed, the old primary is to be replaced like a
 /// failed one.
 ///
 /// At every moment, whichever server a call to the platform may still promote holds each commit that a client was told
@@ -41,25 +54,26 @@
 /// doubt when it leads. No node sends requests to the successor before it is assigned, so nothing is acknowledged that a
 /// read at the old primary could miss. The successor is assigned only after the old primary's assignment is closed at
 /// every node.
-pub(super) async fn hand_over(node: &Arc<Node>, plan: &PromotionPlan) -> bool {
+pub(super) async fn hand_over(node: &Arc<Node>, plan: &PromotionPlan) -> HandoverOutcome {
     let (Some(old_primary), Some(group), Some(ports)) = (&plan.old_primary, &plan.sync_group, &node.ports)
     else {
-        return false;
+        return NOT_BEGUN;
     };
     if group.sync_replicas == 0 {
-        return false;
+        return NOT_BEGUN;
     }
     let started_at = now();
-    let Some(successor) = choose_successor(node, plan, old_primary).await else { return false };
+    let Some(successor) = choose_successor(node, plan, old_primary).await else { return NOT_BEGUN };
     let other_replicas: Vec<Name> =
         group.holders.iter().filter(|holder| **holder != successor).cloned().collect();
-    let Some(fence) = acquire_handover_fence(node, plan).await else { return false };
+    let Some(fence) = acquire_handover_fence(node, plan).await else { return NOT_BEGUN };
     let handover = Handover { node, plan, old_primary, successor, other_replicas, fence };
-    if !handover.promote_successor(ports).await {
+    let is_ready = handover.prepare().await;
+    if !is_ready || !handover.promote_successor(ports).await {
         let line =
             format!("the primary of {} could not be handed over to {}", plan.group, handover.successor);
         node.promotion_state.record_event(line);
-        return false;
+        return HandoverOutcome::Abandoned { platform_called: is_ready };
     }
     seam::trace_point("handover: the successor is promoted");
     let assigned = handover.assign_successor().await;
@@ -71,10 +85,11 @@
         now() - started_at
     );
     node.promotion_state.record_event(line);
-    if assigned {
-        handover.resume_other_replicas();
+    if !assigned {
+        return HandoverOutcome::Abandoned { platform_called: true };
     }
-    assigned
+    handover.resume_other_replicas();
+    HandoverOutcome::Done
 }
 
 /// Whether no token was issued since the group's assignment. Otherwise a promotion that was begun may still be carried
@@ -127,19 +142,22 @@
 }
 
 impl Handover<'_> {
-    async fn promote_successor(&self, ports: &ServerPorts) -> bool {
+    /// Brings about that the successor holds all that is or may be acknowledged from now on. Returns false if that takes
+    /// too long.
+    async fn prepare(&self) -> bool {
         let (node, plan) = (self.node, self.plan);
         if !all_nodes_join(node, &plan.group, self.fence, &self.successor).await {
             return false;
         }
         let suspensions = self.other_replicas.iter().map(|other| suspend(node, other, &plan.servers));
         let suspended = seam::join_all(suspensions).await;
-        let ready = suspended.iter().all(Option::is_some) && self.successor_caught_up().await;
+        let is_ready = suspended.iter().all(Option::is_some) && self.successor_caught_up().await;
         seam::trace_point("handover: other replicas are suspended");
-        if !ready {
-            return false;
-        }
-        let (group, coordinator) = (plan.group.clone(), plan.coordinator.clone());
+        is_ready
+    }
+
+    async fn promote_successor(&self, ports: &ServerPorts) -> bool {
+        let (group, coordinator) = (self.plan.group.clone(), self.plan.coordinator.clone());
         let call = ports.promoter.promote(group, self.successor.clone(), coordinator, self.fence);
         let outcome = seam::timeout(PLATFORM_TIMEOUT, call).await;
         seam::trace_point("handover: the promotion is requested");
--- a/crates/node/src/promotion/direct/launch.rs
+++ b/crates/node/src/promotion/direct/launch.rs
@@ -3,7 +3,7 @@
 use super::super::group_state::GroupState;
 use super::super::plan::{new_plan, old_primary};
 use super::commit_holders::{departed_servers, possible_commit_holders};
-use super::handover::{hand_over, is_token_unused};
+use super::handover::{HandoverOutcome, hand_over, is_token_unused};
 use super::repair::RESTORATIONS_END;
 use crate::node::Node;
 use quincehatch_core::{FencingToken, Name, PrimaryAssignment};
@@ -42,6 +42,7 @@
         server_count: listed.servers.len(),
         servers: listed.servers,
         planned,
+        earlier_calls: !is_token_unused(state.latest_fence, open_assignment(state)),
         preferred: node.promotion_state.take_handover_request(group),
         voters: listed.voters,
         sync_group: Some(listed.sync_group),
@@ -77,6 +78,11 @@
     group.and_then(|group| group.sync_replicas).unwrap_or(0)
 }
 
+/// Returns the group's assignment if it names a server.
+fn open_assignment(state: &GroupState) -> Option<&PrimaryAssignment> {
+    state.primary.as_ref().filter(|assignment| assignment.server.is_some())
+}
+
 /// Whether a handover may begin under the open assignment: no other promotion was begun under it, and nothing that the
 /// promotion before started may still resume a replica.
 fn may_hand_over(state: &GroupState) -> bool {
@@ -85,8 +91,11 @@
 }
 
 async fn run_handover_or_promotion(node: Arc<Node>, mut plan: PromotionPlan, may_hand_over: bool) {
-    if may_hand_over && hand_over(&node, &plan).await {
-        return;
+    if may_hand_over {
+        match hand_over(&node, &plan).await {
+            HandoverOutcome::Done => return,
+            HandoverOutcome::Abandoned { platform_called } => plan.earlier_calls |= platform_called,
+        }
     }
     // A failed handover may have acquired a fencing token. The promotion must expect that token, so that the one that
     // it acquires is higher.
--- a/crates/node/src/promotion/plan.rs
+++ b/crates/node/src/promotion/plan.rs
@@ -26,6 +26,7 @@
         servers: Vec::new(),
         server_count: 0,
         planned: false,
+        earlier_calls: false,
         preferred: None,
         voters: Vec::new(),
         sync_group: None,
--- a/crates/simulator/src/direct/server_ports.rs
+++ b/crates/simulator/src/direct/server_ports.rs
@@ -17,7 +17,7 @@
 use tokio::sync::oneshot;
 
 /// How long a node waits for the promoter's answer.
-const PROMOTE_TIMEOUT: Duration = Duration::from_millis(900);
+const PROMOTE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The group as one node sees it.
 struct NodeView {
--- a/crates/testbed/tests/choice/net.rs
+++ b/crates/testbed/tests/choice/net.rs
@@ -160,6 +160,7 @@
                     servers,
                     server_count: 3,
                     planned: false,
+                    earlier_calls: false,
                     preferred: None,
                     voters: names(z.lists[list]),
                     sync_group: None,
