Prepared texts and settings of sessions stay within budgets

Cause: the proxy kept its name for each text that any client had ever prepared, with the text, and removed none. A session might also set 256 settings of 1 MiB each, and a connection keeps what the last session set on it.

Change: sessions share the texts that they prepare. A text that no session holds is kept for the next one, so that servers need not prepare it again, and the least recently used go beyond 32 MiB, counted with 256 bytes an entry. Names are never given twice. Texts that live sessions hold are never dropped; beyond the budget a further PREPARE is rejected. Settings: 1 MiB a session, 16 MiB for all; both are copied out of the client's buffer. A server connection is reset once the texts prepared on it reach 4 MiB, beside the limit of 256 names.

--- a/crates/proxy/src/direct/connection.rs
+++ b/crates/proxy/src/direct/connection.rs
@@ -34,6 +34,8 @@
     pub settings: SessionSettings,
     /// The proxy's names of the statements that are prepared at the server.
     pub prepared: HashSet<Name>,
+    /// The length of their texts, in bytes.
+    pub prepared_bytes: usize,
     /// When the last call on it ended.
     pub last_used: Millis,
     /// Whether a call was started and its reply was not received, because the call is running, has failed or was
@@ -46,7 +48,8 @@
     /// Wraps a connection that was just opened for a tenant.
     pub fn new(server: Box<dyn ServerConnection>, tenant: Option<Name>) -> Connection {
         let (settings, prepared) = (SessionSettings::new(), HashSet::new());
-        Connection { server, tenant, settings, prepared, last_used: now(), reply_pending: false }
+        let (prepared_bytes, reply_pending) = (0, false);
+        Connection { server, tenant, settings, prepared, prepared_bytes, last_used: now(), reply_pending }
     }
 
     /// Returns the reason why an idle connection must not be used, if it was closed or received unsolicited data.
@@ -59,6 +62,12 @@
         !self.reply_pending
     }
 
+    /// Forgets the statements that were prepared at the server.
+    pub(super) fn clear_prepared(&mut self) {
+        self.prepared.clear();
+        self.prepared_bytes = 0;
+    }
+
     /// Sends a call and waits for its reply. If it fails or is cancelled, the connection is not usable any more.
     pub(super) async fn exchange(&mut self, call: &ServerCall) -> io::Result<ServerReply> {
         self.reply_pending = true;
--- a/crates/proxy/src/direct/connection_setup.rs
+++ b/crates/proxy/src/direct/connection_setup.rs
@@ -1,13 +1,15 @@
 //! Applies a session's settings and prepared statements to the connection that is to run its next statement.
 use super::connection::{Connection, ConnectionError, SessionSettings};
 use super::monitored_call::CallContext;
-use super::session_setup::PreparedStatement;
+use super::session_memory::PreparedStatement;
 use crate::ports::ServerCall;
 use quincehatch_core::Millis;
 use quincehatch_runtime::seam;
 
 /// The maximum number of prepared statements on one connection; a connection with more is reset before its next use.
 const MAX_PREPARED: usize = 256;
+/// The maximum length of their texts, in bytes.
+const MAX_PREPARED_BYTES: usize = 4 << 20;
 
 impl Connection {
     /// Makes the connection's settings equal to `wanted`: no setting of another session may remain in force.
@@ -18,7 +20,8 @@
         within: Millis,
     ) -> Result<(), ConnectionError> {
         let skip_reset = seam::injected_bug("held-no-reset") && wanted.is_empty();
-        let too_many_prepared = self.prepared.len() > MAX_PREPARED;
+        let too_many_prepared =
+            self.prepared.len() > MAX_PREPARED || self.prepared_bytes > MAX_PREPARED_BYTES;
         if (self.settings == *wanted || skip_reset) && !too_many_prepared {
             return Ok(());
         }
@@ -26,7 +29,7 @@
         if too_many_prepared || has_foreign {
             self.call_expecting_success(context, &ServerCall::Reset, within).await?;
             self.settings.clear();
-            self.prepared.clear();
+            self.clear_prepared();
         }
         self.set_changed(context, wanted, within).await
     }
@@ -66,6 +69,7 @@
         };
         self.call_expecting_success(context, &prepare, within).await?;
         self.prepared.insert(statement.name.clone());
+        self.prepared_bytes += statement.template.len();
         Ok(())
     }
 
--- a/crates/proxy/src/direct/mod.rs
+++ b/crates/proxy/src/direct/mod.rs
@@ -24,6 +24,7 @@
 pub mod route;
 mod server_choice;
 mod session;
+pub mod session_memory;
 mod session_setup;
 mod session_transaction;
 mod single_statement;
--- a/crates/proxy/src/direct/proxy.rs
+++ b/crates/proxy/src/direct/proxy.rs
@@ -1,18 +1,17 @@
 //! The state that all direct sessions of a proxy share.
 use super::open_counts::OpenCounts;
 use super::route::ResolvedRoute;
+use super::session_memory::{PreparedTexts, SettingsBudget};
 use super::statement_counts::StatementCounts;
 use crate::Proxy;
 use crate::pool::limits::keepalive_settings;
 use crate::ports::ServerConnector;
 use crate::tenants::{ClientKey, OperationAdmission};
-use bytes::Bytes;
 use quincehatch_core::{Error, ErrorCode, Millis, Name};
 use quincehatch_runtime::{now, seam};
 use quincehatch_wire::http::KeepaliveSettings;
-use std::collections::HashMap;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// The longest time after which an unused idle connection is closed; shorter where the even share is small.
@@ -47,14 +46,10 @@
     pub statement_counts: StatementCounts,
     /// The outcomes of attempts to open connections.
     pub open_counts: OpenCounts,
-    prepared_names: Mutex<HashMap<PreparedKey, Name>>,
-}
-
-/// Identifies a prepared statement: statements with equal keys share one name.
-#[derive(PartialEq, Eq, Hash)]
-struct PreparedKey {
-    write: bool,
-    template: Bytes,
+    /// The texts of the prepared statements of all sessions.
+    pub prepared_texts: PreparedTexts,
+    /// The memory of the settings of all sessions.
+    pub settings_budget: SettingsBudget,
 }
 
 /// How many connections one proxy may have to one server.
@@ -77,7 +72,8 @@
             open_sessions: AtomicUsize::new(0),
             statement_counts: StatementCounts::default(),
             open_counts: OpenCounts::default(),
-            prepared_names: Mutex::default(),
+            prepared_texts: PreparedTexts::default(),
+            settings_budget: SettingsBudget::default(),
         })
     }
 
@@ -180,13 +176,4 @@
     pub fn keepalive_settings(&self) -> KeepaliveSettings {
         keepalive_settings(&self.proxy.health_settings())
     }
-
-    /// Returns this proxy's name for a prepared statement. Equal statements share one name, whatever names clients give
-    /// them, so that the names of two clients never collide on a connection.
-    pub fn prepared_name(&self, write: bool, template: &Bytes) -> Name {
-        let mut names = self.prepared_names.lock().unwrap();
-        let next = names.len();
-        let key = PreparedKey { write, template: template.clone() };
-        names.entry(key).or_insert_with(|| format!("p{next}").into()).clone()
-    }
 }
--- a/crates/proxy/src/direct/session.rs
+++ b/crates/proxy/src/direct/session.rs
@@ -6,7 +6,7 @@
 use super::replies::transaction_lost;
 use super::response::StatementResponse;
 use super::route::ResolvedRoute;
-use super::session_setup::{PreparedStatement, SessionSetup};
+use super::session_setup::SessionSetup;
 use super::session_transaction::{SessionTransaction, Transaction};
 use super::single_statement::run_single;
 use super::statement::{SingleStatement, Statement, StatementBody};
@@ -101,10 +101,10 @@
             _ if state == TransactionState::Failed => StatementResponse::malformed(state),
             SessionCommand::Begin { read_only } => self.begin(read_only),
             SessionCommand::Set { name, value } => {
-                let result = self.setup.set(name, value);
+                let result = self.setup.set(&self.direct.settings_budget, &name, &value);
                 self.respond(result)
             }
-            SessionCommand::Prepare { name, write, template } => self.prepare(name, write, template),
+            SessionCommand::Prepare { name, write, template } => self.prepare(&name, write, &template),
             SessionCommand::Deallocate { name } => self.deallocate(name),
             SessionCommand::Execute { name, arguments } => self.run_prepared(id, name, arguments).await,
             SessionCommand::Read { text } => {
@@ -174,12 +174,8 @@
         }
     }
 
-    fn prepare(&mut self, name: Bytes, write: bool, template: Bytes) -> StatementResponse {
-        let direct = &self.direct;
-        let result = self.setup.prepare(name, || {
-            let proxy_name = direct.prepared_name(write, &template);
-            PreparedStatement { name: proxy_name, write, template }
-        });
+    fn prepare(&mut self, name: &[u8], write: bool, template: &Bytes) -> StatementResponse {
+        let result = self.setup.prepare(&self.direct.prepared_texts, name, write, template);
         self.respond(result)
     }
 
--- a/crates/proxy/src/direct/statement.rs
+++ b/crates/proxy/src/direct/statement.rs
@@ -4,12 +4,13 @@
 use super::monitored_call::CallContext;
 use super::replies::reject_reason;
 use super::route::ResolvedRoute;
-use super::session_setup::PreparedStatement;
+use super::session_memory::PreparedStatement;
 use crate::ports::{RejectReason, ServerCall, ServerReply};
 use crate::tenants::OperationAdmission;
 use bytes::Bytes;
 use quincehatch_core::{Millis, Position};
 use quincehatch_runtime::{now, seam};
+use std::sync::Arc;
 
 /// A read or write that the client sent.
 #[derive(Clone, Debug)]
@@ -25,7 +26,7 @@
     Text(Bytes),
     /// A prepared statement with the client's arguments.
     Prepared {
-        prepared: PreparedStatement,
+        prepared: Arc<PreparedStatement>,
         arguments: Bytes,
     },
 }
@@ -104,7 +105,7 @@
         match self.call(context, &call, execution.time_left()).await {
             Ok(reply) => {
                 if reject_reason(&reply) == Some(RejectReason::Unprepared) {
-                    self.prepared.clear();
+                    self.clear_prepared();
                 }
                 StatementAttempt::Replied(reply)
             }
