A server that does not lead any more is replaced although its overdue replies are not confirmed

Cause: replies of the old primary were overdue at the node that owns the duty. An unconfirmed stall took precedence over what the server says of itself, and over a promotion that was begun and left unfinished: no promotion began while the stall was observed. Nodes acknowledge nothing under an unfinished promotion that they do not take part in, so this became an outage.

Change: a server that reports for 0.6 s that it does not lead is replaced without confirmation. A failure is confirmed first, and if it is not, the group is still checked for a cut-off primary and an unfinished promotion.

--- a/crates/failover/src/direct.rs
+++ b/crates/failover/src/direct.rs
@@ -32,12 +32,13 @@
     if assignment.server.is_none() {
         return need_without_server(observation);
     }
-    if primary_failed(observation) || lasts_at_least(observation.stalled_for, STALL_LIMIT) {
-        return PromotionNeed::Confirm;
-    }
+    // What the server says of itself needs no confirmation, whatever else is observed of it.
     if lasts_at_least(observation.not_primary_for, NOT_PRIMARY_LIMIT) {
         return PromotionNeed::Now { planned: false };
     }
+    if primary_failed(observation) || lasts_at_least(observation.stalled_for, STALL_LIMIT) {
+        return PromotionNeed::Confirm;
+    }
     let is_leaving = observation.draining || observation.unregistered;
     if has_successor && (is_leaving || observation.handover_requested) {
         return PromotionNeed::Now { planned: true };
--- a/crates/failover/tests/direct_need.rs
+++ b/crates/failover/tests/direct_need.rs
@@ -36,6 +36,19 @@
     assert_eq!(promotion_need(&stuck, true), PromotionNeed::Now { planned: false });
 }
 
+/// Guards against a group without a primary: a server that says that it does not lead any more, and whose replies are
+/// overdue, was not replaced as long as no other node saw the overdue replies (seed 320000440).
+#[test]
+fn a_server_that_does_not_lead_is_replaced_also_if_an_unconfirmed_stall_is_observed() {
+    let primary = PrimaryAssignment { fence: 1, server: Some("a".into()), ..Default::default() };
+    let stalled = GroupObservation { primary: Some(primary), stalled_for: Some(9_000), ..Default::default() };
+    assert_eq!(promotion_need(&stalled, true), PromotionNeed::Confirm);
+    let not_primary = GroupObservation { not_primary_for: Some(600), ..stalled.clone() };
+    assert_eq!(promotion_need(&not_primary, true), PromotionNeed::Now { planned: false });
+    let briefly = GroupObservation { not_primary_for: Some(599), ..stalled };
+    assert_eq!(promotion_need(&briefly, true), PromotionNeed::Confirm);
+}
+
 #[test]
 fn the_time_without_replication_grows_until_an_answering_replica_reaches_the_watermark() {
     let mut watermark = ReplicationWatermark::default();
--- a/crates/node/src/feed/follower.rs
+++ b/crates/node/src/feed/follower.rs
@@ -143,7 +143,7 @@
         if let Some(lease_ms) = lease_ms.filter(|_| !self.has_left()) {
             self.lease_log.record_renewal(sent_at);
             let lease_end = sent_at + minus_clock_drift(lease_ms);
-            let renewal_due = sent_at + 2 * self.usual_poll_ms();
+            let renewal_due = sent_at + self.usual_poll_ms();
             self.node.proxy.registry.renew_lease_expecting(lease_end, renewal_due);
         }
         self.log_lease_change();
--- a/crates/node/src/promotion/direct/supervision.rs
+++ b/crates/node/src/promotion/direct/supervision.rs
@@ -44,7 +44,8 @@
     let observation = observe(node, group, &servers, state);
     refresh_acknowledged_bound(node, group, &servers, state, &observation);
     let has_successor = has_successor(&servers, observation.primary.as_ref());
-    let mut need = promotion_need(&observation, has_successor);
+    let need = promotion_need(&observation, has_successor);
+    let mut need = confirm_need(node, &observation, need, primary_failed(&observation)).await;
     if need == PromotionNeed::Nothing && has_successor && is_cut_off(state) {
         state.direct.cut_off_handled_at = now();
         let line = format!("no replica in {group} receives the primary's log");
@@ -56,7 +57,6 @@
         node.promotion_state.record_event(line);
         need = PromotionNeed::Now { planned: true };
     }
-    let need = confirm_need(node, &observation, need, primary_failed(&observation)).await;
     let PromotionNeed::Now { planned } = need else { return };
     begin_promotion(node, group, &servers, state, planned);
 }
--- a/crates/simulator/tests/direct_sim.rs
+++ b/crates/simulator/tests/direct_sim.rs
@@ -48,10 +48,10 @@
 /// Guards against replicas that receive again while a promotion that was given up may still be carried out: commits were
 /// acknowledged that the promoted server lacked. Without the fix seeds 2, 18 and 20 lose commits; 28, 92, 100, 133 and 250
 /// show a late resume by the promotion before, and a suspended replica that restarted; 91000001, 91000324 and 91000458 a
-/// promotion that took an earlier call's effect for its own.
+/// promotion that took an earlier call's effect for its own; 320000440 a group that stayed without a primary for 16 s.
 #[test]
 fn fleets_have_no_violation_when_promotions_are_carried_out_late() {
-    for seed in (1..=24).chain([28, 33, 92, 100, 133, 250, 91000001, 91000324, 91000458]) {
+    for seed in (1..=24).chain([28, 33, 92, 100, 133, 250, 91000001, 91000324, 91000458, 320000440]) {
         assert_no_violation(&run_seed(&DirectSimOptions { slow_promoter: true, ..options(seed) }));
     }
 }
