--- a/crates/gossip/src/kinds.rs
+++ b/crates/gossip/src/kinds.rs
@@ -1,5 +1,6 @@
 //! The names under which calls between nodes are counted in metrics.
-use crate::messages::{GossipMessage, NodeQuery};
+use crate::messages::GossipMessage;
+use crate::queries::NodeQuery;
 
 impl GossipMessage {
     /// Returns the name of the variant.
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -15,9 +15,11 @@
 pub mod messages;
 mod owner_table;
 pub mod ownership;
+pub mod queries;
 mod retry_safety;
 pub mod session_replicas;
 
 pub use membership::{GossipAction, GossipMembership, LiveMember};
 pub use messages::*;
 pub use owner_table::OwnerTable;
+pub use queries::*;
--- a/crates/gossip/src/retry_safety.rs
+++ b/crates/gossip/src/retry_safety.rs
@@ -1,5 +1,5 @@
 //! Retry safety of the requests between nodes: which of them may be retried, and how the receiver recognizes a retry.
-use crate::messages::{NodeQuery, NodeRequest, NodeResponse};
+use crate::queries::{NodeQuery, NodeRequest, NodeResponse};
 use quincehatch_wire::{Call, IdempotencyKey, RetrySafety};
 
 impl Call for NodeRequest {
--- a/crates/gossip/src/session_replicas.rs
+++ b/crates/gossip/src/session_replicas.rs
@@ -1,8 +1,8 @@
 //! The session replicas at one node. They are compared with those of another owner by digests over ranges, and each
 //! stale replica is replaced by the newer one.
 use crate::membership::LiveMember;
-use crate::messages::SessionVersion;
 use crate::ownership::replica_owners;
+use crate::queries::SessionVersion;
 use quincehatch_core::{Millis, Name, Version, hash64};
 use quincehatch_proxy::session::SessionState;
 use std::collections::BTreeMap;
