--- a/crates/simulator/tests/direct_sim.rs
+++ b/crates/simulator/tests/direct_sim.rs
@@ -66,6 +66,17 @@
     }
 }
 
+/// Nodes that tell clients of commits without the evidence that a handover asks for lose some of them.
+#[test]
+fn commits_that_are_acknowledged_without_evidence_are_lost() {
+    let is_lost = |seed| {
+        let bug = Some("unproven-commit".to_owned());
+        let report = run_seed(&DirectSimOptions { late_joins: true, bug, ..options(seed) });
+        report.violations.iter().any(|violation| violation.starts_with("LOST"))
+    };
+    assert!((1..=SEEDS).any(is_lost));
+}
+
 /// Seeds with which a violation was found and fixed: work at a primary that had left long before while no other primary
 /// was available, a promotion by a plan that predated another promotion, an acknowledgement that arrived after a close,
 /// three concurrent promoters, a successor that received log entries before it was registered in the replicated store,
