--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -54,8 +54,11 @@
     }
     let opens = direct.open_counts.totals();
     let open = direct.open_sessions.load(Ordering::Relaxed) as f64;
+    let (texts, settings) = (direct.prepared_texts.bytes() as f64, direct.settings_budget.bytes() as f64);
     vec![
         Metric::gauge("sessions_open", "Open direct sessions").with_value(open),
+        Metric::gauge("prepared_text_bytes", "Memory of prepared texts").with_value(texts),
+        Metric::gauge("session_settings_bytes", "Memory of sessions' settings").with_value(settings),
         Metric::gauge("requests_in_flight", "Requests over the client API under way")
             .with_value(node.proxy.requests_in_flight.load(Ordering::Relaxed) as f64),
         Metric::gauge("retries_left", "Retries that are left in the budget")
--- a/crates/proxy/tests/session_memory.rs
+++ b/crates/proxy/tests/session_memory.rs
@@ -1,4 +1,5 @@
 //! The memory that clients' prepared statements and settings take at the proxy.
+#[allow(dead_code, reason = "each test file uses a part of the fake servers")]
 mod fake_servers;
 
 use bytes::Bytes;
