Waiting for the evidence of a commit is the registry's, and the test fleet's load waits as a node does

Cause: the load of that test calls the registry, not the proxy. It took an answer of Pending, which a handover gives for each commit until the successor has reported to hold it, for a refusal and never asked again. Nodes wait for the report.

Change: the wait moves from the proxy's response to Registry::acknowledge_by, and the load of the test calls that: one piece of code decides for both.

--- a/crates/proxy/src/direct/acknowledgement.rs
+++ b/crates/proxy/src/direct/acknowledgement.rs
@@ -3,13 +3,8 @@
 use super::response::StatementResponse;
 use super::route::ResolvedRoute;
 use crate::ports::{ServerReply, TransactionState};
-use crate::routing::commit_evidence::{Acknowledgement, Commit};
+use crate::routing::commit_evidence::Commit;
 use quincehatch_core::{ErrorCode, FencingToken, Millis, Position};
-use quincehatch_runtime::{now, seam};
-use std::time::Duration;
-
-/// How long a pending commit waits for a report or a change of the cluster state before it is decided again.
-const RECHECK_INTERVAL: Millis = 50;
 
 /// How a write or commit was sent.
 #[derive(Clone, Copy)]
@@ -36,7 +31,7 @@
         _ if reply.rejection.is_some() => true,
         Some(end) => {
             let commit = Commit { fence: sent.fence, end, after: sent.after };
-            is_acknowledged(direct, route, commit, sent.finish_by).await
+            direct.proxy.registry.acknowledge_by(&route.group, &commit, sent.finish_by).await
         }
         None => false,
     };
@@ -48,27 +43,3 @@
         .with_unknown_outcome();
     StatementResponse::failed(error, TransactionState::Idle)
 }
-
-/// Waits until it is decided whether the commit may be acknowledged. Returns false if it is not decided by `finish_by`.
-async fn is_acknowledged(
-    direct: &DirectProxy,
-    route: &ResolvedRoute,
-    commit: Commit,
-    finish_by: Millis,
-) -> bool {
-    let registry = &direct.proxy.registry;
-    loop {
-        // Registered before the decision, so that no report is missed between the decision and the wait.
-        let reported = registry.evidence_recorded.notified();
-        let changed = registry.changed.notified();
-        match registry.acknowledge(&route.group, &commit) {
-            Acknowledgement::Granted => return true,
-            Acknowledgement::Refused => return false,
-            Acknowledgement::Pending if now() >= finish_by => return false,
-            Acknowledgement::Pending => registry.evidence_awaited.notify_one(),
-        }
-        let time_left = finish_by.saturating_sub(now()).clamp(1, RECHECK_INTERVAL);
-        let either = seam::select_first(reported, changed);
-        let _ = seam::timeout(Duration::from_millis(time_left), either).await;
-    }
-}
--- a/crates/proxy/src/routing/commits.rs
+++ b/crates/proxy/src/routing/commits.rs
@@ -6,7 +6,11 @@
 use crate::routing::registry::Registry;
 use crate::staleness::PrimaryPositions;
 use quincehatch_core::{FencingToken, Millis, Name, Position};
-use quincehatch_runtime::now;
+use quincehatch_runtime::{now, seam};
+use std::time::Duration;
+
+/// How long a pending commit waits for a report or a change of the cluster state before it is decided again.
+const RECHECK_INTERVAL: Millis = 50;
 
 impl Registry {
     /// Records that the group's primary was observed at `position` by a request that was sent at `queried_at`.
@@ -54,6 +58,25 @@
         })
     }
 
+    /// Waits until it is decided whether the commit may be acknowledged. Returns false if it may not, or if that is not
+    /// decided by `finish_by`.
+    pub async fn acknowledge_by(&self, group: &str, commit: &Commit, finish_by: Millis) -> bool {
+        loop {
+            // Registered before the decision, so that no report is missed between the decision and the wait.
+            let reported = self.evidence_recorded.notified();
+            let changed = self.changed.notified();
+            match self.acknowledge(group, commit) {
+                Acknowledgement::Granted => return true,
+                Acknowledgement::Refused => return false,
+                Acknowledgement::Pending if now() >= finish_by => return false,
+                Acknowledgement::Pending => self.evidence_awaited.notify_one(),
+            }
+            let time_left = finish_by.saturating_sub(now()).clamp(1, RECHECK_INTERVAL);
+            let either = seam::select_first(reported, changed);
+            let _ = seam::timeout(Duration::from_millis(time_left), either).await;
+        }
+    }
+
     /// Takes part in a handover of the group to `successor`. Returns false if this node takes part in a later one.
     pub fn join_handover(&self, group: &str, fence: FencingToken, successor: &Name) -> bool {
         self.acknowledged.join_handover(group, fence, successor)
--- a/crates/simulator/tests/held/fleet.rs
+++ b/crates/simulator/tests/held/fleet.rs
@@ -1,10 +1,10 @@
 //! A fleet in virtual time: keepers and nodes over a simulated group of servers on direct connections.
 use crate::group::Group;
 use quincehatch_config::settings::NodeSettings;
-use quincehatch_core::{Name, Position, PrimaryAssignment, Role, ServerRecord};
+use quincehatch_core::{Millis, Name, Position, PrimaryAssignment, Role, ServerRecord};
 use quincehatch_node::{Node, peer_service};
-use quincehatch_proxy::routing::commit_evidence::{Acknowledgement, Commit};
-use quincehatch_runtime::seam;
+use quincehatch_proxy::routing::commit_evidence::Commit;
+use quincehatch_runtime::{now, seam};
 use quincehatch_simulator::addresses;
 use quincehatch_simulator::fleet::keeper_group::KeeperGroup;
 use quincehatch_simulator::fleet::simulation::{ProcessId, Simulation};
@@ -19,6 +19,8 @@
     pub pids: Vec<ProcessId>,
 }
 
+/// A client must have the response to its commit within this time.
+const STATEMENT_TIMEOUT: Millis = 2_000;
 const CONFIGURATION: &str = "[[placements]]\nname = \"p\"\nselect = { group = [\"g\"] }\n[[rules]]\nname = \"o\"\n\
     class = \"order\"\nplacement = \"p\"\n[[groups]]\nname = \"g\"\nsync_replicas = 1\n";
 
@@ -147,7 +149,8 @@
                         // The acknowledgement reaches the node with a delay.
                         seam::sleep(Duration::from_millis(5)).await;
                         let commit = Commit { fence: assignment.fence, end, after: Position::default() };
-                        if node.proxy.registry.acknowledge("g", &commit) == Acknowledgement::Granted {
+                        let finish_by = now() + STATEMENT_TIMEOUT;
+                        if node.proxy.registry.acknowledge_by("g", &commit, finish_by).await {
                             group.with(|s| s.acknowledged = s.acknowledged.max(end));
                         }
                     }
