A primary cut off from its replicas is not chosen again while a proof for a replica may still come

Callers of such a group would have waited for a second promotion: all three logs were suspended, and the promotion chose the old primary, which receives no confirmations.

Cause: since the listed replicas count only once the servers were listed and the nodes were asked after the close, in a planned promotion after 800 ms. The old primary's own log needs no such proof. When all logs were suspended nothing was waited for any more, and its log, the longest, was the only one that counted.

Change: a server of last resort (the old primary, or one that drains) is chosen within the 800 ms only if all logs are suspended and another proof has come as well.

--- a/crates/failover/src/promotion/candidate.rs
+++ b/crates/failover/src/promotion/candidate.rs
@@ -37,8 +37,9 @@
         let Some(candidate) = selection.choose(self.plan.preferred.as_ref()) else { return };
         let is_old_primary = self.plan.old_primary.as_ref() == Some(&candidate.server);
         let is_last_resort = is_old_primary || group.draining.contains(&candidate.server);
-        let others_may_answer = self.fenced.len() < self.plan.servers.len();
-        if is_last_resort && others_may_answer && now < self.phase_started_at + BETTER_CANDIDATE_DELAY {
+        let is_better_expected = now < self.phase_started_at + BETTER_CANDIDATE_DELAY
+            && (self.fenced.len() < self.plan.servers.len() || self.awaits_proof(&selection));
+        if is_last_resort && is_better_expected {
             return;
         }
         let (end, suspended) = (candidate.end, self.fenced.len());
@@ -50,6 +51,12 @@
         self.enter(now, Phase::Promoting);
     }
 
+    /// Whether a log that the old primary's exceeds may still be proven complete: neither the nodes' acknowledgements nor
+    /// the listed replicas count yet.
+    fn awaits_proof(&self, selection: &CandidateSelection) -> bool {
+        selection.acknowledged_end.is_none() && !selection.trust_listed_replicas
+    }
+
     /// Whether the known replicas are taken for all that may have confirmed commits: once they were listed and the nodes
     /// were asked after the close. In a planned promotion the old primary still works, and a better proof is waited for.
     fn trusts_listed_replicas(&self, now: Millis) -> bool {
--- a/crates/failover/tests/unlisted_replica.rs
+++ b/crates/failover/tests/unlisted_replica.rs
@@ -109,6 +109,21 @@
     assert_eq!(promotion.phase, Phase::Promoting);
 }
 
+/// Guards against the return of a primary that is cut off from its replicas: its own log is suspended first, and is always
+/// long enough.
+#[test]
+fn the_old_primary_is_not_chosen_while_a_proof_for_its_replicas_may_still_come() {
+    let mut promotion = closed_promotion(true);
+    for event in [fenced("lead", 9), fenced("r0", 5), fenced("r1", 5), listed(&["r0", "r1"])] {
+        promotion.step(1, event);
+    }
+    promotion.step(1, PromotionEvent::AcknowledgedAtLeast(at(5)));
+    assert_eq!(promotion.phase, Phase::Fencing, "the old primary is not chosen yet");
+    let actions = promotion.step(900, PromotionEvent::Tick);
+    let chooses_replica = |action: &PromotionAction| matches!(action, PromotionAction::PromoteServer { server, .. } if *server != "lead");
+    assert!(actions.iter().any(chooses_replica), "{actions:?}");
+}
+
 /// Every combination of two listed replicas, one that is not listed and what it alone has confirmed.
 #[test]
 fn no_listed_replica_is_chosen_that_lacks_what_nodes_are_known_to_have_acknowledged() {
