In the simulator a request that is lost in a partition no longer holds its connection at the server

Cause (trace): from 31 s on 23 of the 24 places at server s0 were held by connections that their nodes had closed, each with one request in flight and none in execution. The request's delivery had timed out in the partition; the simulated server counted it as on the network for good, and a closed connection is kept until its requests have ended. When s0 was promoted nodes got no place ("no connection came free in time"). A kernel reports such a connection as lost; the product is not at fault.

Change: a request whose delivery times out is no longer in flight, and a connection that its node has closed goes with the last.

--- a/crates/simulator/src/direct/request_execution.rs
+++ b/crates/simulator/src/direct/request_execution.rs
@@ -69,6 +69,7 @@
             Delivery::Arrived => group.admit_request(simulation, request),
             Delivery::Refused => drop(request),
             Delivery::TimedOut => {
+                group.with(|state| state.abandon_undelivered(id));
                 let _ = request.reply_to.send(Err(io::ErrorKind::TimedOut.into()));
             }
         });
@@ -216,6 +217,15 @@
         Some(result)
     }
 
+    /// Forgets a request that never reached its server. If the node has closed its end, the connection is gone with it.
+    fn abandon_undelivered(&mut self, id: u64) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        connection.requests_in_flight -= 1;
+        if connection.closed && connection.requests_in_flight == 0 {
+            self.connections.remove(&id);
+        }
+    }
+
     /// Handles the close of the node's end. The connection exists until its requests in execution have finished.
     fn close_at_server(&mut self, id: u64) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
