A server that has deregistered registers no more in the simulator, and a departed one ranks behind those that stay

Cause (trace): s2 deregistered to leave at 11,642 while it was the primary. A promotion demoted it, and the simulator registered it again because its role had changed: the store had a server that does not drain, and a later promotion chose it. The check still counted from the first deregistration. A server that leaves sends no new registration.

Change: the simulated server registers no more once it leaves. The check and its limit stay, and are stricter on the product: the server remains departed. On the way: a server that departs between the plan of a promotion and the list after the close has its log suspended already; it now counts as draining, so that one that stays is preferred.

--- a/crates/node/src/promotion/direct/launch.rs
+++ b/crates/node/src/promotion/direct/launch.rs
@@ -59,14 +59,16 @@
     gathered_fence: Option<FencingToken>,
 ) -> ListedServers {
     let names = || servers.iter().map(|server| server.name.clone());
-    let draining = servers.iter().filter(|server| server.is_draining());
+    let departed = departed_servers(node, group, servers, primary);
+    let draining = servers.iter().filter(|server| server.is_draining()).map(|server| server.name.clone());
     ListedServers {
         servers: names().collect(),
-        voters: names().chain(departed_servers(node, group, servers, primary)).collect(),
+        voters: names().chain(departed.iter().cloned()).collect(),
         sync_group: SyncGroup {
             sync_replicas: configured_sync_replicas(node, group),
             holders: possible_commit_holders(node, group, servers, primary),
-            draining: draining.map(|server| server.name.clone()).collect(),
+            // A departed server may still answer.
+            draining: draining.chain(departed).collect(),
             gathered_fence,
         },
     }
--- a/crates/simulator/src/direct/operator.rs
+++ b/crates/simulator/src/direct/operator.rs
@@ -71,10 +71,10 @@
 
 impl GroupState {
     /// Returns the registration that a server has to send, with its record, or `None` if its current registration is
-    /// acknowledged.
+    /// acknowledged. A server that has deregistered to leave registers no more.
     fn next_registration(&mut self, index: usize, now: Millis) -> Option<(Registration, ServerRecord)> {
         let server = &self.servers[index];
-        if server.is_absent || now < server.registers_from {
+        if server.is_absent || server.is_leaving || now < server.registers_from {
             return None;
         }
         let registration = server.registration();
