Listed replicas that may lack acknowledged commits are not chosen while another server may still be heard of

Cause (traces): nodes cannot tell an acknowledged commit's exact position: the reply names an end of the log that may include later commits. So they report two positions between which it lies. A log that reached the lower one counted as complete.

Change: for 800 ms (in a planned promotion from 800 to 1,600 ms) listed replicas count only with a log that reaches the upper position; then the lower one counts, as nobody may ever hold the upper. A server that is listed anew is suspended at once.

Test: a_replica_that_may_lack_acknowledged_commits_is_not_chosen_while_another_may_still_be_listed. Left: a commit that only an unlisted replica holds which is not listed within these 800 ms, where others were in flight with it.

--- a/crates/failover/src/promotion.rs
+++ b/crates/failover/src/promotion.rs
@@ -45,6 +45,8 @@
     acknowledged_end: Option<Position>,
     /// Some acknowledged commit is at this position or beyond it; `None` until nodes were asked.
     acknowledged_at_least: Option<Position>,
+    /// No commit that the nodes which were asked acknowledged is beyond this position.
+    reported_end: Position,
     /// Whether the servers of a direct group were listed after the close.
     servers_listed: bool,
     /// The voter sets in force, as the store returned them with the closed assignment; empty before the first
@@ -78,6 +80,7 @@
             chosen: None,
             acknowledged_end: None,
             acknowledged_at_least: None,
+            reported_end: Position::default(),
             servers_listed: false,
             voter_sets: Vec::new(),
             failure: None,
@@ -160,11 +163,9 @@
             }
             (_, PromotionEvent::AcknowledgedUpTo { end, at_least }) => {
                 self.acknowledged_end = Some(end);
-                self.acknowledged_at_least = self.acknowledged_at_least.max(Some(at_least));
-            }
-            (_, PromotionEvent::AcknowledgedAtLeast(position)) => {
-                self.acknowledged_at_least = self.acknowledged_at_least.max(Some(position));
+                self.record_reports(end, at_least);
             }
+            (_, PromotionEvent::AcknowledgedInPart { end, at_least }) => self.record_reports(end, at_least),
             (Phase::Fencing, PromotionEvent::ServersListed(listed)) => self.servers_listed(listed),
             // A tick, or the answer to a request of an earlier phase.
             _ => {}
@@ -181,7 +182,16 @@
         self.enter(now, if self.plan.planned { Phase::Draining } else { Phase::Fencing });
     }
 
+    fn record_reports(&mut self, end: Position, at_least: Position) {
+        self.reported_end = self.reported_end.max(end);
+        self.acknowledged_at_least = self.acknowledged_at_least.max(Some(at_least));
+    }
+
     fn servers_listed(&mut self, listed: ListedServers) {
+        if listed.servers.iter().any(|server| !self.plan.servers.contains(server)) {
+            // A server that has joined is fenced at once.
+            self.requested_at = 0;
+        }
         self.plan.servers = listed.servers;
         self.plan.voters = listed.voters;
         self.plan.sync_group = Some(listed.sync_group);
--- a/crates/failover/src/promotion/candidate.rs
+++ b/crates/failover/src/promotion/candidate.rs
@@ -11,6 +11,9 @@
 /// In a direct group the old primary or a draining server is chosen only after this delay, as a better server may
 /// answer.
 const BETTER_CANDIDATE_DELAY: Millis = 800;
+/// A replica that nobody has heard of yet may be listed within this time, when the listed ones may lack acknowledged
+/// commits.
+const UNLISTED_REPLICA_DELAY: Millis = 800;
 
 /// A fenced server and the end of its log.
 type FencedServer<'a> = (&'a Name, &'a Position);
@@ -30,7 +33,7 @@
             suspended: &self.fenced,
             old_primary: self.plan.old_primary.as_ref(),
             acknowledged_end: self.acknowledged_end,
-            acknowledged_at_least: self.acknowledged_at_least.unwrap_or_default(),
+            acknowledged_at_least: self.required_of_listed_replicas(now),
             trust_listed_replicas: self.trusts_listed_replicas(now),
             delay_elapsed: now >= self.phase_started_at + HIGHEST_LOG_DELAY,
         };
@@ -57,6 +60,16 @@
         selection.acknowledged_end.is_none() && !selection.trust_listed_replicas
     }
 
+    /// Returns the position that a log must reach to be proven complete by the listed replicas. Acknowledged commits are
+    /// between the two positions that nodes report. While a server that holds all of them may still be heard of, the log
+    /// must reach the upper one; the old primary may alone have reached it, with commits that it never confirmed.
+    fn required_of_listed_replicas(&self, now: Millis) -> Position {
+        let at_least = self.acknowledged_at_least.unwrap_or_default();
+        let planned_delay = if self.plan.planned { BETTER_CANDIDATE_DELAY } else { 0 };
+        let is_lower_enough = now >= self.phase_started_at + planned_delay + UNLISTED_REPLICA_DELAY;
+        if is_lower_enough { at_least } else { at_least.max(self.reported_end) }
+    }
+
     /// Whether the known replicas are taken for all that may have confirmed commits: once they were listed and the nodes
     /// were asked after the close. In a planned promotion the old primary still works, and a better proof is waited for.
     fn trusts_listed_replicas(&self, now: Millis) -> bool {
--- a/crates/failover/src/promotion/protocol.rs
+++ b/crates/failover/src/promotion/protocol.rs
@@ -72,8 +72,13 @@
         /// Some acknowledged commit is at this position or beyond it.
         at_least: Position,
     },
-    /// Some nodes have reported what they acknowledged: a commit at this position or beyond it.
-    AcknowledgedAtLeast(Position),
+    /// Some nodes have reported what they acknowledged.
+    AcknowledgedInPart {
+        /// No commit that these nodes acknowledged is beyond this position.
+        end: Position,
+        /// Some acknowledged commit is at this position or beyond it.
+        at_least: Position,
+    },
     /// The servers of a direct group, as they are listed now.
     ServersListed(ListedServers),
     /// A higher fencing token was granted: another node has started a promotion.
--- a/crates/failover/tests/unlisted_replica.rs
+++ b/crates/failover/tests/unlisted_replica.rs
@@ -32,6 +32,10 @@
     PromotionEvent::ServerFenced(server.into(), at(number))
 }
 
+fn acknowledged(at_least: u64, end: u64) -> PromotionEvent {
+    PromotionEvent::AcknowledgedInPart { end: at(end), at_least: at(at_least) }
+}
+
 /// Returns a promotion of a group with the replicas r0 and r1 whose assignment is closed.
 fn closed_promotion(planned: bool) -> Promotion {
     let plan = PromotionPlan {
@@ -62,7 +66,7 @@
 #[test]
 fn a_replica_that_joined_since_the_plan_is_fenced_before_a_server_is_chosen() {
     let mut promotion = closed_promotion(false);
-    for event in [fenced("r0", 5), fenced("r1", 5), PromotionEvent::AcknowledgedAtLeast(at(5))] {
+    for event in [fenced("r0", 5), fenced("r1", 5), acknowledged(5, 5)] {
         promotion.step(1, event);
         assert_eq!(promotion.phase, Phase::Fencing, "the servers are not listed yet");
     }
@@ -86,7 +90,7 @@
         promotion.step(1, event);
         assert_eq!(promotion.phase, Phase::Fencing);
     }
-    promotion.step(1, PromotionEvent::AcknowledgedAtLeast(at(0)));
+    promotion.step(1, acknowledged(0, 0));
     assert_eq!(promotion.phase, Phase::Promoting);
 }
 
@@ -96,7 +100,7 @@
     for event in [fenced("r0", 5), fenced("r1", 5), listed(&["r0", "r1"])] {
         promotion.step(1, event);
     }
-    promotion.step(1, PromotionEvent::AcknowledgedAtLeast(at(5)));
+    promotion.step(1, acknowledged(5, 5));
     assert_eq!(promotion.phase, Phase::Fencing);
     promotion.step(2, PromotionEvent::AcknowledgedUpTo { end: at(5), at_least: at(5) });
     assert_eq!(promotion.phase, Phase::Promoting);
@@ -104,7 +108,7 @@
     for event in [fenced("r0", 5), fenced("r1", 5), listed(&["r0", "r1"])] {
         promotion.step(1, event);
     }
-    promotion.step(1, PromotionEvent::AcknowledgedAtLeast(at(5)));
+    promotion.step(1, acknowledged(5, 5));
     promotion.step(900, PromotionEvent::Tick);
     assert_eq!(promotion.phase, Phase::Promoting);
 }
@@ -117,13 +121,31 @@
     for event in [fenced("lead", 9), fenced("r0", 5), fenced("r1", 5), listed(&["r0", "r1"])] {
         promotion.step(1, event);
     }
-    promotion.step(1, PromotionEvent::AcknowledgedAtLeast(at(5)));
+    promotion.step(1, acknowledged(5, 5));
     assert_eq!(promotion.phase, Phase::Fencing, "the old primary is not chosen yet");
     let actions = promotion.step(900, PromotionEvent::Tick);
     let chooses_replica = |action: &PromotionAction| matches!(action, PromotionAction::PromoteServer { server, .. } if *server != "lead");
     assert!(actions.iter().any(chooses_replica), "{actions:?}");
 }
 
+/// Guards against the loss of a commit that lies between the two positions which nodes report, and that an unlisted replica or
+/// the old primary alone holds: the listed replicas reached the lower position, and were chosen at once.
+#[test]
+fn a_replica_that_may_lack_acknowledged_commits_is_not_chosen_while_another_may_still_be_listed() {
+    let mut promotion = closed_promotion(false);
+    for event in [fenced("r0", 5), fenced("r1", 5), listed(&["r0", "r1"]), acknowledged(5, 6)] {
+        promotion.step(1, event);
+    }
+    promotion.step(700, PromotionEvent::Tick);
+    assert_eq!(promotion.phase, Phase::Fencing);
+    let actions = promotion.step(701, listed(&["r0", "r1", "r2"]));
+    let fences_newcomer = |action: &PromotionAction| matches!(action, PromotionAction::FenceServer { server, .. } if *server == "r2");
+    assert!(actions.iter().any(fences_newcomer), "{actions:?}");
+    let actions = promotion.step(702, fenced("r2", 6));
+    let chooses_newcomer = |action: &PromotionAction| matches!(action, PromotionAction::PromoteServer { server, .. } if *server == "r2");
+    assert!(actions.iter().any(chooses_newcomer), "{actions:?}");
+}
+
 /// Every combination of two listed replicas, one that is not listed and what it alone has confirmed.
 #[test]
 fn no_listed_replica_is_chosen_that_lacks_what_nodes_are_known_to_have_acknowledged() {
--- a/crates/node/src/promotion/direct/acknowledged.rs
+++ b/crates/node/src/promotion/direct/acknowledged.rs
@@ -108,6 +108,8 @@
 pub(super) struct AcknowledgedCommits {
     /// The end of all of them; `None` unless every process that may have passed on one reported.
     pub(super) end: Option<Position>,
+    /// None that a process has reported is beyond this position.
+    pub(super) reported_end: Position,
     /// Some of them is at this position or beyond it.
     pub(super) at_least: Position,
 }
@@ -126,5 +128,7 @@
     // A process serves clients only after it enrolled, and so before the assignment was closed.
     let enrolled = node.feed_state.lock().unwrap().nodes.clone();
     let end = bound.and_then(|bound| bound.acknowledged_end(&gathered.reports, &enrolled));
-    AcknowledgedCommits { end: end.filter(|_| gathered.complete), at_least: gathered.at_least }
+    let reported_end = gathered.reports.values().map(|report| report.end).max().unwrap_or_default();
+    let end = end.filter(|_| gathered.complete);
+    AcknowledgedCommits { end, reported_end, at_least: gathered.at_least }
 }
--- a/crates/node/src/promotion/direct/actions.rs
+++ b/crates/node/src/promotion/direct/actions.rs
@@ -52,7 +52,7 @@
     let commits = gather_acknowledged(node, &plan.group, primary_fence, fence).await;
     match commits.end {
         Some(end) => PromotionEvent::AcknowledgedUpTo { end, at_least: commits.at_least },
-        None => PromotionEvent::AcknowledgedAtLeast(commits.at_least),
+        None => PromotionEvent::AcknowledgedInPart { end: commits.reported_end, at_least: commits.at_least },
     }
 }
 
--- a/crates/simulator/tests/direct_sim.rs
+++ b/crates/simulator/tests/direct_sim.rs
@@ -59,10 +59,11 @@
 /// Guards against the loss of acknowledged commits that only a server had confirmed which no node had heard of yet. Seed 2
 /// loses them at a handover; 92000029, 92000097 and 92000170 in promotions that were planned before the server was heard of;
 /// 92000101 where a node was cut off together with the primary and that server; 610000598 where a restarted node
-/// acknowledged commits, lost its lease, and was not among the nodes that were to report.
+/// acknowledged commits, lost its lease, and was not among the nodes that were to report; 1610000985 and 1610001783 where
+/// commits were in flight together, so that nodes could not tell exactly how far the acknowledged ones reach.
 #[test]
 fn fleets_have_no_violation_when_servers_join_before_they_are_heard_of() {
-    for seed in (1..=24).chain([92000029, 92000097, 92000101, 92000170, 610000598]) {
+    for seed in (1..=24).chain([92000029, 92000097, 92000101, 92000170, 610000598, 1610000985, 1610001783]) {
         assert_no_violation(&run_seed(&DirectSimOptions { late_joins: true, ..options(seed) }));
     }
 }
